--- /dev/null
+++ b/crates/dogwoodpitch-agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/dogwoodpitch/src/protocol/mod.rs
@@ -0,0 +1,10 @@
+//! Messages and codecs. This layer knows formats, not sockets.
+
+pub mod cid;
+pub mod code;
+pub mod datagram;
+pub mod peer;
+pub mod proxy;
+pub mod quic;
+pub mod request;
+pub mod settings;
--- /dev/null
+++ b/crates/dogwoodpitch/src/state/config.rs
@@ -0,0 +1,110 @@
+//! The operators' configuration as one node knows it.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, SocketAddrV4},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::{
+    label,
+    roster::{Node, Role, Roster},
+    selector::Selector,
+    service::{Id, Service},
+};
+
+/// One item of the configuration with the revision that wrote it. `value` is `None` after a delete.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item<T> {
+    /// Revision of the last write.
+    pub revision: u64,
+    /// Value, or `None` as a tombstone.
+    pub value: Option<T>,
+}
+
+/// Configuration up to a revision. Items only ever move to a higher revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Highest revision that is contained completely.
+    pub revision: u64,
+    /// Services by name.
+    pub services: BTreeMap<String, Item<Service>>,
+    /// Labels by node name.
+    pub labels: BTreeMap<String, Item<label::Set>>,
+    /// Selectors by service name.
+    pub selectors: BTreeMap<String, Item<Selector>>,
+    /// Announced nodes.
+    pub roster: Roster,
+}
+
+impl Snapshot {
+    /// Merges a newer or partial snapshot, item by item. Older items never replace newer ones, so a late reply cannot
+    /// revert an accepted change. Returns whether anything changed.
+    pub fn apply(&mut self, other: Self) -> bool {
+        let mut changed = merge(&mut self.services, other.services);
+        changed |= merge(&mut self.labels, other.labels);
+        changed |= merge(&mut self.selectors, other.selectors);
+        for node in other.roster.iter() {
+            changed |= self.roster.insert(node.clone());
+        }
+        if other.revision > self.revision {
+            self.revision = other.revision;
+            changed = true;
+        }
+        changed
+    }
+
+    /// Service of a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)?.value.as_ref()
+    }
+
+    /// Service of a number.
+    pub fn service_by_id(&self, id: Id) -> Option<&Service> {
+        self.live_services().find(|service| service.id == id)
+    }
+
+    /// Service that callers reach at an address.
+    pub fn service_at(&self, address: SocketAddrV4) -> Option<&Service> {
+        self.live_services().find(|service| service.address == address)
+    }
+
+    /// Services that are not deleted.
+    pub fn live_services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values().filter_map(|item| item.value.as_ref())
+    }
+
+    /// Whether the selector of a service matches the labels of a node.
+    pub fn selects(&self, service: &str, node: &str) -> bool {
+        let selector = self.selectors.get(service).and_then(|item| item.value.as_ref());
+        let labels = self.labels.get(node).and_then(|item| item.value.as_ref());
+        matches!((selector, labels), (Some(selector), Some(labels)) if selector.matches(labels))
+    }
+
+    /// Agents whose labels match the selector of a service.
+    pub fn agents<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Node> {
+        self.roster
+            .of_role(Role::Agent)
+            .filter(move |node| self.selects(service, &node.name))
+    }
+
+    /// Addresses of WebSocket links of all other nodes.
+    pub fn peers<'a>(&'a self, own: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+        self.roster
+            .iter()
+            .filter(move |node| node.name != own)
+            .map(|node| node.peer)
+    }
+}
+
+fn merge<T: PartialEq>(known: &mut BTreeMap<String, Item<T>>, other: BTreeMap<String, Item<T>>) -> bool {
+    let mut changed = false;
+    for (name, item) in other {
+        if known.get(&name).is_none_or(|old| old.revision < item.revision) {
+            known.insert(name, item);
+            changed = true;
+        }
+    }
+    changed
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/transport/mod.rs
@@ -0,0 +1,9 @@
+//! Sockets and connections. This layer moves bytes and messages and decides nothing.
+
+pub mod http;
+pub mod log;
+pub mod metric;
+pub mod quic;
+pub mod signal;
+pub mod time;
+pub mod websocket;
--- /dev/null
+++ b/crates/dogwoodpitch/src/transport/signal.rs
@@ -0,0 +1,42 @@
+//! Termination signals.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+/// Time between looks at the flag that the signal handler sets.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// SIGTERM and SIGINT of this process.
+#[derive(Debug, Clone)]
+pub struct Termination(Arc<AtomicBool>);
+
+impl Termination {
+    /// Installs the signal handlers.
+    pub fn open() -> io::Result<Self> {
+        let flag = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, Arc::clone(&flag))?;
+        }
+        Ok(Self(flag))
+    }
+
+    /// Whether a signal has arrived.
+    pub fn is_requested(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Waits for a signal.
+    pub async fn requested(&self) {
+        while !self.is_requested() {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/transport/time.rs
@@ -0,0 +1,29 @@
+//! Clock and deadlines on the runtime.
+
+use std::{
+    future::Future,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// Seconds from the Unix epoch to 2025-01-01, where incarnations start.
+const INCARNATION_EPOCH_S: u64 = 1_735_689_600;
+
+/// Incarnation of a process that starts now: deciseconds since 2025-01-01.
+pub fn incarnation() -> u32 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let deciseconds = since_epoch
+        .saturating_sub(Duration::from_secs(INCARNATION_EPOCH_S))
+        .as_millis()
+        / 100;
+    u32::try_from(deciseconds).unwrap_or(u32::MAX)
+}
+
+/// Waits until a deadline.
+pub async fn sleep_until(deadline: Instant) {
+    monoio::time::sleep_until(deadline.into()).await;
+}
+
+/// Result of a future, or `None` if the deadline passes first.
+pub async fn before<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    monoio::time::timeout_at(deadline.into(), future).await.ok()
+}
