Add the interfaces of coordination, roles and UDP ports

Cause: the parts are written at the same time and need fixed interfaces. Change: signatures without behaviour for transport::udp, coordination and the three roles. Result: compiles; nothing runs end to end yet.

--- a/crates/dogwoodpitch/src/coordination/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/mod.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Tasks that span several nodes: configuration, membership, load exchange, hand-over, admission.
+
+pub mod admission;
+pub mod config;
+pub mod exchange;
+pub mod peer;
+pub mod status;
--- a/crates/dogwoodpitch/src/transport/mod.rs
+++ b/crates/dogwoodpitch/src/transport/mod.rs
@@ -6,4 +6,5 @@
 pub mod quic;
 pub mod signal;
 pub mod time;
+pub mod udp;
 pub mod websocket;
