Add the command frame of the lab

Cause: stand-ins and load tool are written at the same time. Change: dispatch of the lab's commands with one module each. Result: compiles; the commands do nothing yet.

--- /dev/null
+++ b/crates/dogwoodpitch-lab/src/backend.rs
@@ -0,0 +1,11 @@
+//! Stand-in for a backend server.
+
+use pico_args::Arguments;
+
+use crate::Outcome;
+
+/// Runs the command.
+pub(crate) fn run(args: Arguments) -> Outcome {
+    drop(args);
+    Ok(())
+}
--- /dev/null
+++ b/crates/dogwoodpitch-lab/src/forward.rs
@@ -0,0 +1,11 @@
+//! Measures the data path of the balancer.
+
+use pico_args::Arguments;
+
+use crate::Outcome;
+
+/// Runs the command.
+pub(crate) fn run(args: Arguments) -> Outcome {
+    drop(args);
+    Ok(())
+}
--- /dev/null
+++ b/crates/dogwoodpitch-lab/src/store.rs
@@ -0,0 +1,11 @@
+//! Stand-in for the platform's key-value store.
+
+use pico_args::Arguments;
+
+use crate::Outcome;
+
+/// Runs the command.
+pub(crate) fn run(args: Arguments) -> Outcome {
+    drop(args);
+    Ok(())
+}
