Add store client, configuration sync, ctl and the store stand-in

Balancers and agents need a configuration, and operators need a way to write one.

The store client speaks the subset of the etcd v3 JSON gateway that the system uses and separates calls without effect from calls of unknown outcome. Sync reads the head keys, announces the node, spreads revisions by digests and pulls what is new from peers. Changes are transactions with a comparison and a change ID that settles a lost reply.

Pull now carries the lowest incarnation wanted and the puller's entry; Digest carries the highest known incarnation and the sender's link address.

--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fabric;
 mod forward;
+mod gateway;
 mod measure;
 mod store;
 
--- /dev/null
+++ b/crates/dogwoodpitch/src/coordination/change.rs
@@ -0,0 +1,240 @@
+//! Writes of operators: compare-and-swap, with change IDs that settle a lost reply.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand::RngExt;
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::Snafu;
+
+use crate::{
+    coordination::store::{Error, Store},
+    protocol::{
+        code::Code,
+        store::{Compare, Entry, HEAD, HISTORY, Put, Range, Record, Step, Txn},
+    },
+    transport::time,
+};
+
+/// Mean pause between attempts to settle an unknown outcome.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// An item as it was read, on which a change is based.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Base<T> {
+    /// Revision of the item, 0 if it never existed.
+    pub revision: u64,
+    /// Record of the item.
+    pub record: Option<Record<T>>,
+}
+
+impl<T: DeserializeOwned> Base<T> {
+    /// Item of an entry. A value that does not parse is treated as missing, so that it can be replaced.
+    pub fn from_entry(entry: Option<&Entry>) -> Self {
+        Self {
+            revision: entry.map_or(0, |entry| entry.mod_revision),
+            record: entry.and_then(|entry| serde_json::from_slice(&entry.value).ok()),
+        }
+    }
+}
+
+impl<T> Base<T> {
+    /// Value, or `None` if the item does not exist or is deleted.
+    pub fn value(&self) -> Option<&T> {
+        self.record.as_ref()?.value.as_ref()
+    }
+}
+
+/// A change of one item, with writes of other keys that have to happen together.
+#[derive(Debug, Clone)]
+pub struct Change {
+    id: String,
+    key: String,
+    former: Option<String>,
+    txn: Txn,
+}
+
+/// A change that is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Accepted {
+    /// Revision of the change, or of a later change of the same item if `superseded`.
+    pub revision: u64,
+    /// Whether another change of the item followed before the outcome was known.
+    pub superseded: bool,
+}
+
+/// A change that is not known to be in force.
+#[derive(Debug, Snafu)]
+pub enum Failure {
+    /// Another change came first, and this one has not taken effect and will not.
+    #[snafu(display("code {}: another change came first", Code::CONFLICT))]
+    Conflict {
+        /// The item as the other change left it.
+        current: Base<serde_json::Value>,
+    },
+    /// Another key of the change was written meanwhile. This change has not taken effect and will not; it may be made
+    /// again on a new base.
+    #[snafu(display("code {}: another change came first", Code::CONFLICT))]
+    Contention,
+    /// The change did not take effect.
+    #[snafu(display("{source}"))]
+    Store {
+        /// Cause.
+        source: Error,
+    },
+    /// The change may have taken effect, or may still.
+    #[snafu(display("code {}: outcome of change {id} is unknown: {text}", Code::WRITE_UNKNOWN))]
+    Unknown {
+        /// ID of the change.
+        id: String,
+        /// Cause.
+        text: String,
+    },
+}
+
+impl Change {
+    /// Change of an item to a value, or its delete.
+    pub fn new<T: Serialize>(key: String, base: &Base<T>, value: Option<&T>) -> Self {
+        let id = format!("{:032x}", rand::rng().random::<u128>());
+        let mut change = Self {
+            former: base.record.as_ref().map(|record| record.change.clone()),
+            id,
+            key: key.clone(),
+            txn: Txn::default(),
+        };
+        change.and(key, base, value);
+        let head = serde_json::json!({ "change": change.id });
+        change.put(HEAD.to_owned(), &head);
+        change
+    }
+
+    /// Adds the write of another item.
+    pub fn and<T: Serialize>(&mut self, key: String, base: &Base<T>, value: Option<&T>) {
+        let former = base.record.as_ref();
+        let history = former.into_iter().flat_map(|record| {
+            let latest = std::iter::once(&record.change);
+            latest.chain(&record.history).take(HISTORY).cloned()
+        });
+        let record = Record {
+            value,
+            change: self.id.clone(),
+            history: history.collect(),
+        };
+        self.compare_and_put(key, base.revision, &record);
+    }
+
+    /// Adds the write of a key that has no record.
+    pub fn compare_and_put<T: Serialize>(&mut self, key: String, revision: u64, value: &T) {
+        self.txn.compare.push(Compare {
+            key: key.clone().into(),
+            mod_revision: revision,
+            ..Compare::default()
+        });
+        self.txn.failure.push(Step::Range(Range::key(&key)));
+        self.put(key, value);
+    }
+
+    fn put<T: Serialize>(&mut self, key: String, value: &T) {
+        self.txn.success.push(Step::Put(Put {
+            key: key.into(),
+            value: Bytes::from(serde_json::to_vec(value).expect("records have string keys")),
+            lease: 0,
+        }));
+    }
+
+    /// ID of the change.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Makes the change. After a lost reply the item is read, and the same comparison is tried again if the change is
+    /// not found, so it takes effect at most once.
+    pub async fn write(&self, store: &Store, deadline: Instant) -> Result<Accepted, Failure> {
+        let mut unknown = None;
+        loop {
+            match self.attempt(store, deadline, unknown.is_some()).await {
+                Ok(outcome) => return outcome,
+                Err(error) if error.is_unknown() => unknown = Some(error.to_string()),
+                Err(error) if unknown.is_none() => return Err(Failure::Store { source: error }),
+                Err(_) => {}
+            }
+            let next = Instant::now() + SETTLE_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+            if next >= deadline {
+                let text = unknown.unwrap_or_default();
+                return Err(Failure::Unknown {
+                    id: self.id.clone(),
+                    text,
+                });
+            }
+            time::sleep_until(next).await;
+        }
+    }
+
+    /// One attempt. It reads the item first if `settle`, which is set after an attempt of unknown outcome.
+    async fn attempt(
+        &self,
+        store: &Store,
+        deadline: Instant,
+        settle: bool,
+    ) -> Result<Result<Accepted, Failure>, Error> {
+        if settle {
+            let reply = store.range(&Range::key(&self.key), deadline).await?;
+            if let Some(accepted) = self.find(reply.kvs.first()) {
+                return Ok(Ok(accepted));
+            }
+        }
+        let reply = store.txn(&self.txn, deadline).await?;
+        if reply.succeeded {
+            return Ok(Ok(Accepted {
+                revision: reply.header.revision,
+                superseded: false,
+            }));
+        }
+        Ok(self.judge(reply.entries().collect()))
+    }
+
+    /// Outcome after the comparison failed.
+    fn judge(&self, entries: Vec<Entry>) -> Result<Accepted, Failure> {
+        let current = entries.into_iter().find(|entry| entry.key == self.key.as_bytes());
+        if let Some(accepted) = self.find(current.as_ref()) {
+            return Ok(accepted);
+        }
+        let revision = current.as_ref().map_or(0, |entry| entry.mod_revision);
+        if revision == self.txn.compare[0].mod_revision {
+            return Err(Failure::Contention);
+        }
+        let current = Base::from_entry(current.as_ref());
+        let complete = current.record.as_ref().is_none_or(|record: &Record<_>| {
+            let knows_former = |former| record.history.contains(former);
+            record.history.len() < HISTORY || self.former.as_ref().is_some_and(knows_former)
+        });
+        if complete {
+            return Err(Failure::Conflict { current });
+        }
+        Err(Failure::Unknown {
+            id: self.id.clone(),
+            text: format!("more than {HISTORY} later changes of the item"),
+        })
+    }
+
+    fn find(&self, entry: Option<&Entry>) -> Option<Accepted> {
+        let entry = entry?;
+        let record = record(entry)?;
+        let superseded = record.history.contains(&self.id);
+        (superseded || record.change == self.id).then_some(Accepted {
+            revision: entry.mod_revision,
+            superseded,
+        })
+    }
+}
+
+fn record(entry: &Entry) -> Option<Record<serde_json::Value>> {
+    serde_json::from_slice(&entry.value).ok()
+}
+
+/// Reads an item as the base of a change.
+pub async fn read<T: DeserializeOwned>(store: &Store, key: &str, deadline: Instant) -> Result<Base<T>, Failure> {
+    let reply = store.range(&Range::key(key), deadline).await;
+    let mut reply = reply.map_err(|source| Failure::Store { source })?;
+    Ok(Base::from_entry(reply.kvs.pop().as_ref()))
+}
--- a/crates/dogwoodpitch/src/coordination/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/mod.rs
@@ -1,7 +1,9 @@
 //! Tasks that span several nodes: configuration, membership, load exchange, hand-over, admission.
 
 pub mod admission;
+pub mod change;
 pub mod config;
 pub mod exchange;
 pub mod peer;
 pub mod status;
+pub mod store;
--- a/crates/dogwoodpitch/src/coordination/peer.rs
+++ b/crates/dogwoodpitch/src/coordination/peer.rs
@@ -1,8 +1,27 @@
 //! Accepts WebSocket links from other nodes.
 
-use std::{future::Future, io};
+use std::{
+    future::Future,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use crate::{coordination::config::Sync, protocol::peer::Message, transport::websocket::Link};
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::{
+    coordination::config::{Sync, message_len},
+    protocol::peer::Message,
+    state::{config::Snapshot, roster::Roster},
+    transport::{time, websocket::Link},
+};
+
+/// Longest time for the handshake of a link.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a message after which an idle link is closed, so that links over a silent path do not pile up.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(10);
+/// Most links that are open at once.
+const MAX_LINKS: usize = 4096;
 
 /// Listens on this node's link address. Answers `Pull` itself and passes a link whose message is `Run` to `run`. The
 /// future that `run` returns gives the link back when it may carry another request.
@@ -10,6 +29,70 @@
 where
     F: Future<Output = Option<Link>> + 'static,
 {
-    let _ = (sync, key, run);
+    let listener = TcpListener::bind(sync.own().peer)?;
+    let sync = sync.clone();
+    let run = Rc::new(run);
+    let open = Rc::new(());
+    monoio::spawn(async move {
+        loop {
+            let (stream, peer) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!(event = "peer.accept_failed", error:% = error; "cannot accept a link");
+                    time::sleep_until(Instant::now() + Duration::from_millis(10)).await;
+                    continue;
+                }
+            };
+            if Rc::strong_count(&open) > MAX_LINKS {
+                log::warn!(event = "peer.too_many_links", peer:% = peer; "link refused");
+                continue;
+            }
+            let (sync, run, open) = (sync.clone(), Rc::clone(&run), Rc::clone(&open));
+            monoio::spawn(async move {
+                if let Err(error) = serve(&sync, &key, stream, run.as_ref()).await {
+                    log::debug!(event = "peer.link_closed", peer:% = peer, error:% = error; "link closed");
+                }
+                drop(open);
+            });
+        }
+    });
     Ok(())
 }
+
+async fn serve<F>(sync: &Sync, key: &[u8; 32], stream: TcpStream, run: &impl Fn(Link, Message) -> F) -> io::Result<()>
+where
+    F: Future<Output = Option<Link>>,
+{
+    let mut link = Link::accept(stream, key, Instant::now() + HANDSHAKE_TIMEOUT).await?;
+    loop {
+        let message = time::before(Instant::now() + IDLE_TIMEOUT, link.recv::<Message>()).await;
+        match message.unwrap_or(Err(io::ErrorKind::TimedOut.into()))? {
+            Message::Pull {
+                revision,
+                incarnation,
+                node,
+            } => {
+                let answer = Message::Snapshot(Box::new(sync.delta(revision, incarnation)));
+                sync.count_link_bytes(message_len(&answer));
+                let mut roster = Roster::default();
+                roster.insert(*node);
+                sync.apply(Snapshot {
+                    roster,
+                    ..Snapshot::default()
+                });
+                let sent = time::before(Instant::now() + HANDSHAKE_TIMEOUT, link.send(&answer)).await;
+                sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
+            }
+            message @ Message::Run { .. } => match run(link, message).await {
+                Some(returned) => link = returned,
+                None => return Ok(()),
+            },
+            _ => {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    "code 400: unexpected message",
+                ));
+            }
+        }
+    }
+}
--- a/crates/dogwoodpitch/src/coordination/status.rs
+++ b/crates/dogwoodpitch/src/coordination/status.rs
@@ -2,11 +2,41 @@
 
 use std::{cell::Cell, io, rc::Rc};
 
-use crate::{coordination::config::Sync, transport::metric::Recorder};
+use hyper::{Method, Response, StatusCode};
+use monoio::net::TcpListener;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    coordination::config::Sync,
+    state::roster::Role,
+    transport::{
+        http::{self, Payload},
+        metric::Recorder,
+    },
+};
 
 /// Shared draining flag of a daemon. While it is set, `/health` answers 503.
 pub type Draining = Rc<Cell<bool>>;
 
+/// Fields that each daemon has in its `/status`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: String,
+    /// Role of the node.
+    pub role: Role,
+    /// Data centre of the node.
+    pub data_centre: String,
+    /// Configuration revision in force.
+    pub revision: u64,
+    /// Number of known nodes, this one included.
+    pub nodes: usize,
+    /// Incarnation of the process.
+    pub incarnation: u32,
+    /// Whether the node is stopping.
+    pub draining: bool,
+}
+
 /// Serves the endpoints on the `http` address of the node. `/status` is a JSON object with `node`, `role`, `data_centre`,
 /// `revision`, `incarnation` and `draining`, and the members of `extra`.
 pub fn serve(
@@ -15,6 +45,48 @@
     draining: Draining,
     extra: impl Fn() -> serde_json::Value + 'static,
 ) -> io::Result<()> {
-    let _ = (sync, recorder, draining, extra);
+    let listener = TcpListener::bind(sync.own().http)?;
+    let sync = sync.clone();
+    let answer = move |method: &Method, path: &str| -> Response<Payload> {
+        if method != Method::GET {
+            return http::response(StatusCode::METHOD_NOT_ALLOWED, "text/plain", "expected GET\n");
+        }
+        match path {
+            "/metrics" => {
+                metrics::counter!("dogwoodpitch_control_bytes_total").absolute(sync.control_bytes());
+                http::response(StatusCode::OK, "text/plain; version=0.0.4", recorder.render())
+            }
+            "/status" => http::json(StatusCode::OK, &status(&sync, draining.get(), extra())),
+            "/health" if draining.get() => http::json(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &serde_json::json!({ "status": "draining" }),
+            ),
+            "/health" => http::json(StatusCode::OK, &serde_json::json!({ "status": "ok" })),
+            _ => http::response(StatusCode::NOT_FOUND, "text/plain", "unknown path\n"),
+        }
+    };
+    let handler = move |_peer, request: hyper::Request<hyper::body::Incoming>| {
+        std::future::ready(answer(request.method(), request.uri().path()))
+    };
+    monoio::spawn(http::serve(listener, handler));
     Ok(())
 }
+
+fn status(sync: &Sync, draining: bool, extra: serde_json::Value) -> serde_json::Value {
+    let own = sync.own();
+    let snapshot = sync.snapshot();
+    let status = Status {
+        node: own.name.clone(),
+        role: own.role,
+        data_centre: own.data_centre.clone(),
+        revision: snapshot.revision,
+        nodes: snapshot.roster.len(),
+        incarnation: own.incarnation,
+        draining,
+    };
+    let mut value = serde_json::to_value(status).expect("a status has string keys");
+    if let (Some(members), serde_json::Value::Object(extra)) = (value.as_object_mut(), extra) {
+        members.extend(extra);
+    }
+    value
+}
--- a/crates/dogwoodpitch/src/protocol/mod.rs
+++ b/crates/dogwoodpitch/src/protocol/mod.rs
@@ -8,3 +8,4 @@
 pub mod quic;
 pub mod request;
 pub mod settings;
+pub mod store;
--- a/crates/dogwoodpitch/src/protocol/peer.rs
+++ b/crates/dogwoodpitch/src/protocol/peer.rs
@@ -1,5 +1,7 @@
 //! Messages between nodes: CBOR on WebSocket links, and the payloads of control frames.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -8,7 +10,7 @@
         code::Code,
         request::{Head, Reply},
     },
-    state::{config::Snapshot, load::Load, service::Id},
+    state::{config::Snapshot, load::Load, roster::Node, service::Id},
 };
 
 /// First message of the accepting side.
@@ -40,10 +42,14 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Message {
-    /// Asks for the configuration newer than a revision.
+    /// Asks for the configuration newer than a revision, and announces the sender.
     Pull {
         /// Revision of the sender.
         revision: u64,
+        /// Lowest incarnation of the nodes to answer with; 0 for all nodes.
+        incarnation: u32,
+        /// Entry of the sender.
+        node: Box<Node>,
     },
     /// Answers `Pull`.
     Snapshot(Box<Snapshot>),
@@ -86,6 +92,10 @@
     pub revision: u64,
     /// Number of roster entries of the sender, so that missing entries are noticed.
     pub nodes: u32,
+    /// Highest incarnation in the roster of the sender, so that restarted nodes are noticed.
+    pub incarnation: u32,
+    /// Link address of the sender, for a pull by a node that does not know the sender yet.
+    pub peer: SocketAddr,
 }
 
 /// Payload of a `Load` frame.
--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -1,3 +1,260 @@
-//! Placeholder of the binary.
+//! Operators' command line of dogwoodpitch.
 
-fn main() {}
+mod command;
+mod fleet;
+
+use std::{ffi::OsString, net::SocketAddr, process::ExitCode, str::FromStr};
+
+use dogwoodpitch::{
+    coordination::{change::Failure, store::Store},
+    protocol::code::Code,
+};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use pico_args::Arguments;
+use serde_json::{Value, json};
+
+const HELP: &str = "\
+Operators' command line of dogwoodpitch
+
+Usage: dogwoodpitchctl --store URL[,URL...] [--json] [--expect-revision R] COMMAND
+
+Commands:
+  service apply NAME --address IP:PORT   creates a service or changes its address
+  service delete NAME                    deletes a service and its selector
+  service list                           lists the services
+  service show NAME                      shows a service
+  label set NODE KEY=VALUE... [KEY-...]  sets labels of a node, and removes those with a trailing '-'
+  label list [NODE]                      lists labels
+  selector set SERVICE TEXT              sets the selector of a service; an empty text matches nothing
+  selector show SERVICE                  shows the selector of a service
+  agents                                 lists the announced agents with their labels and services
+  status                                 asks all announced nodes for their state
+  wait --revision N [--timeout-s S]      waits until all reachable nodes use revision N or a later one (default 30 s);
+                                         a node that does not answer twice in a row counts as unreachable and is listed
+
+Options:
+  --store URL            address of the store, as http://IP:PORT or IP:PORT; several are separated by commas
+  --json                 prints one JSON object
+  --expect-revision R    makes a change only if the item still has revision R (0: it never existed); without it, a
+                         change is based on the item as it is read first
+  --help, --version      prints this text, or the version
+
+Exit codes: 0 ok, 2 usage or invalid value, 3 conflict, 4 store unavailable or outcome unknown, 5 wait timed out,
+6 not found
+";
+
+/// A command that failed.
+#[derive(Debug)]
+struct Error {
+    code: Option<Code>,
+    text: String,
+    details: Value,
+}
+
+impl Error {
+    fn new(code: Code, text: impl Into<String>) -> Self {
+        Self {
+            code: Some(code),
+            text: text.into(),
+            details: Value::Null,
+        }
+    }
+
+    fn usage(text: impl Into<String>) -> Self {
+        Self {
+            code: None,
+            text: text.into(),
+            details: Value::Null,
+        }
+    }
+
+    fn exit_code(&self) -> u8 {
+        match self.code {
+            Some(Code::CONFLICT) => 3,
+            Some(Code::STORE_UNAVAILABLE | Code::WRITE_UNKNOWN) => 4,
+            Some(Code::TIMED_OUT) => 5,
+            Some(Code::NOT_FOUND) => 6,
+            _ => 2,
+        }
+    }
+
+    fn print(&self, json: bool) {
+        let prefix = self.code.map(|code| format!("code {code}: ")).unwrap_or_default();
+        eprintln!("dogwoodpitchctl: {prefix}{}", self.text);
+        if json {
+            let code = self.code.map(|code| code.0);
+            println!(
+                "{}",
+                json!({ "code": code, "error": self.text, "details": self.details })
+            );
+        }
+    }
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        // The display text starts with the code, which `print` adds itself.
+        let text = failure.to_string();
+        let text = text.split_once(": ").map_or(text.clone(), |(_, rest)| rest.to_owned());
+        match &failure {
+            Failure::Conflict { current } => {
+                let record = current.record.as_ref();
+                let details = json!({
+                    "revision": current.revision,
+                    "value": record.and_then(|record| record.value.clone()),
+                    "change": record.map(|record| record.change.clone()),
+                });
+                let value = &details["value"];
+                Self {
+                    text: format!("{text}: revision {} has the value {value}", current.revision),
+                    details,
+                    code: Some(Code::CONFLICT),
+                }
+            }
+            Failure::Contention => Self::new(Code::CONFLICT, text),
+            Failure::Store { source } => Self::new(source.code(), text),
+            Failure::Unknown { .. } => Self::new(Code::WRITE_UNKNOWN, text),
+        }
+    }
+}
+
+impl From<dogwoodpitch::coordination::store::Error> for Error {
+    fn from(source: dogwoodpitch::coordination::store::Error) -> Self {
+        Failure::Store { source }.into()
+    }
+}
+
+/// Result of a command: JSON, and lines of text.
+struct Output {
+    json: Value,
+    text: String,
+}
+
+/// What each command needs.
+struct Context {
+    store: Store,
+    expect: Option<u64>,
+}
+
+fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if args.contains("--version") {
+        println!("dogwoodpitchctl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let json = args.contains("--json");
+    match start(args) {
+        Ok(output) => {
+            if json {
+                println!("{}", output.json);
+            } else {
+                print!("{}", output.text);
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            error.print(json);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn start(mut args: Arguments) -> Result<Output, Error> {
+    let store =
+        option(&mut args, "--store", stores)?.ok_or_else(|| Error::usage("--store URL is missing; see --help"))?;
+    let expect = option(&mut args, "--expect-revision", number)?;
+    let address = option(&mut args, "--address", command::address)?;
+    let revision = option(&mut args, "--revision", number)?;
+    let timeout_s = option(&mut args, "--timeout-s", number::<u32>)?;
+    let words = words(args.finish())?;
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    if address.is_some() && !words.starts_with(&["service", "apply"]) {
+        return Err(Error::usage("--address belongs to `service apply`"));
+    }
+    if (revision.is_some() || timeout_s.is_some()) && words.first() != Some(&"wait") {
+        return Err(Error::usage("--revision and --timeout-s belong to `wait`"));
+    }
+    let writes = matches!(
+        words[..],
+        ["service", "apply" | "delete", ..] | ["label" | "selector", "set", ..]
+    );
+    if expect.is_some() && !writes {
+        return Err(Error::usage("--expect-revision belongs to commands that write"));
+    }
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .map_err(|error| Error::usage(format!("cannot start the runtime: {error}")))?;
+    runtime.block_on(async {
+        let context = Context {
+            store: Store::open(store),
+            expect,
+        };
+        let context = &context;
+        match words[..] {
+            ["service", "apply", name] => {
+                let address = address.ok_or_else(|| Error::usage("service apply: --address IP:PORT is missing"))?;
+                command::service_apply(context, name, address).await
+            }
+            ["service", "delete", name] => command::service_delete(context, name).await,
+            ["service", "list"] => command::service_list(context).await,
+            ["service", "show", name] => command::service_show(context, name).await,
+            ["label", "set", node, ref labels @ ..] if !labels.is_empty() => {
+                command::label_set(context, node, labels).await
+            }
+            ["label", "list"] => command::label_list(context, None).await,
+            ["label", "list", node] => command::label_list(context, Some(node)).await,
+            ["selector", "set", service, text] => command::selector_set(context, service, text).await,
+            ["selector", "show", service] => command::selector_show(context, service).await,
+            ["agents"] => command::agents(context).await,
+            ["status"] => fleet::status(context).await,
+            ["wait"] => {
+                let revision = revision.ok_or_else(|| Error::usage("wait: --revision N is missing"))?;
+                fleet::wait(context, revision, timeout_s.unwrap_or(30)).await
+            }
+            [] => Err(Error::usage("no command; see --help")),
+            _ => Err(Error::usage(format!(
+                "unknown command `{}`; see --help",
+                words.join(" ")
+            ))),
+        }
+    })
+}
+
+fn option<T>(
+    args: &mut Arguments,
+    name: &'static str,
+    parse: fn(&str) -> Result<T, String>,
+) -> Result<Option<T>, Error> {
+    args.opt_value_from_fn(name, parse)
+        .map_err(|error| Error::usage(format!("{name}: {error}")))
+}
+
+fn words(rest: Vec<OsString>) -> Result<Vec<String>, Error> {
+    rest.into_iter()
+        .map(|word| match word.into_string() {
+            Ok(word) if word.starts_with("--") => Err(Error::usage(format!("unknown option {word}; see --help"))),
+            Ok(word) => Ok(word),
+            Err(word) => Err(Error::usage(format!("argument {} is not UTF-8", word.display()))),
+        })
+        .collect()
+}
+
+fn number<T: FromStr>(text: &str) -> Result<T, String> {
+    text.parse()
+        .map_err(|_invalid| format!("expected a number, got {text:?}"))
+}
+
+fn stores(text: &str) -> Result<Vec<SocketAddr>, String> {
+    text.split(',')
+        .map(|url| {
+            let address = url.strip_prefix("http://").unwrap_or(url).trim_end_matches('/');
+            let address = address.parse();
+            address.map_err(|_invalid| format!("expected http://IP:PORT, got {url:?}"))
+        })
+        .collect()
+}
