--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -5,6 +5,7 @@
 mod fabric;
 mod forward;
 mod measure;
+mod slopes;
 mod store;
 
 use std::process::ExitCode;
@@ -23,6 +24,7 @@
   demo      runs the whole path on loopback and checks it
   measure   runs one scenario under load and faults, and prints its figures
   forward   measures the data path of the balancer
+  slopes    measures how state, processor time and traffic grow
 
 Options:
   --help      prints this text, or the options of a command
@@ -43,6 +45,7 @@
             "demo" => demo::run(args),
             "measure" => measure::run(args),
             "forward" => forward::run(args),
+            "slopes" => slopes::run(args),
             other => Err(format!("unknown command {other:?}; see --help")),
         },
         Ok(None) if args.contains("--version") => {
--- /dev/null
+++ b/crates/dogwoodpitch-lab/src/slopes.rs
@@ -0,0 +1,190 @@
+//! Measures how state, processor time and traffic grow with the number of nodes and flows.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    time::Instant,
+};
+
+use dogwoodpitch::state::{
+    config::{Item, Snapshot},
+    label,
+    roster::{Node, Role, Roster},
+    service::{Id, Service},
+};
+use pico_args::Arguments;
+use serde::Serialize;
+
+use crate::Outcome;
+
+const HELP: &str = "\
+Measures how state, processor time and traffic grow
+
+Usage: dogwoodpitch-lab slopes state
+
+  state   memory, encoded size and processor time of a node's configuration at 1,100, 2,200 and 4,410 nodes
+";
+
+/// Nodes and services of the two-year size.
+const NODES: usize = 4_410;
+const SERVICES: usize = 470;
+const BALANCERS: usize = 610;
+
+/// Runs the command.
+pub(crate) fn run(mut args: Arguments) -> Outcome {
+    match args.subcommand().map_err(|error| error.to_string())?.as_deref() {
+        Some("state") => {
+            // All configurations are kept to the end, so that none reuses the memory of another.
+            let _kept: Vec<_> = [NODES / 4, NODES / 2, NODES].into_iter().map(measure_state).collect();
+        }
+        _ => print!("{HELP}"),
+    }
+    Ok(())
+}
+
+/// Figures of a configuration with one number of nodes.
+#[derive(Debug, Serialize)]
+struct State {
+    nodes: usize,
+    services: usize,
+    resident_kib: u64,
+    encoded_bytes: usize,
+    apply_full_us: u128,
+    apply_one_us: u128,
+    agents_of_all_services_us: u128,
+}
+
+fn measure_state(nodes: usize) -> [Snapshot; 2] {
+    let services = nodes * SERVICES / NODES;
+    let before = resident_kib();
+    let snapshot = snapshot(nodes, services);
+    let resident_kib = resident_kib().saturating_sub(before);
+    let mut copy = Snapshot::default();
+    let full = snapshot.clone();
+    let apply_full_us = time_us(|| copy.apply(full));
+    let change = Snapshot {
+        revision: snapshot.revision + 1,
+        labels: BTreeMap::from([(
+            name(0),
+            Item {
+                revision: snapshot.revision + 1,
+                value: None,
+            },
+        )]),
+        ..Snapshot::default()
+    };
+    let apply_one_us = time_us(|| copy.apply(change));
+    let agents_of_all_services_us = time_us(|| {
+        snapshot
+            .live_services()
+            .map(|service| snapshot.agents(&service.name).count())
+            .sum::<usize>()
+    });
+
+    let mut encoded = Vec::new();
+    ciborium::into_writer(&snapshot, &mut encoded).expect("writing CBOR to memory does not fail");
+    let state = State {
+        nodes,
+        services,
+        resident_kib,
+        encoded_bytes: encoded.len(),
+        apply_full_us,
+        apply_one_us,
+        agents_of_all_services_us,
+    };
+    println!("{}", serde_json::to_string(&state).expect("figures have string keys"));
+    [snapshot, copy]
+}
+
+fn time_us<T>(work: impl FnOnce() -> T) -> u128 {
+    let start = Instant::now();
+    std::hint::black_box(work());
+    start.elapsed().as_micros()
+}
+
+/// Resident memory of this process.
+fn resident_kib() -> u64 {
+    const PAGE_KIB: u64 = 4;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    statm
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or_default()
+        * PAGE_KIB
+}
+
+fn name(index: usize) -> String {
+    format!("peristeri-node-{index:04}")
+}
+
+fn snapshot(nodes: usize, services: usize) -> Snapshot {
+    let address = |index: usize, port: u16| {
+        let [_, _, high, low] = u32::try_from(index).expect("few nodes").to_be_bytes();
+        SocketAddrV4::new(Ipv4Addr::new(127, 1, high, low), port)
+    };
+    let mut roster = Roster::default();
+    for index in 0..nodes {
+        roster.insert(Node {
+            name: name(index),
+            role: if index < nodes * BALANCERS / NODES {
+                Role::Balancer
+            } else {
+                Role::Agent
+            },
+            data_centre: "peristeri".to_owned(),
+            datagram: address(index, 4000),
+            peer: SocketAddr::V4(address(index, 4001)),
+            http: SocketAddr::V4(address(index, 4002)),
+            incarnation: 1,
+        });
+    }
+    let service = |index: usize| format!("service-{index:03}");
+    let item = |value| Item {
+        revision: 1,
+        value: Some(value),
+    };
+    let labels = |index: usize| label::Set(BTreeMap::from([("app".to_owned(), service(index % services))]));
+    Snapshot {
+        revision: 1,
+        services: (0..services)
+            .map(|index| {
+                let id = Id(u16::try_from(index).expect("few services"));
+                (
+                    service(index),
+                    item(Service {
+                        id,
+                        name: service(index),
+                        address: address(index, 443),
+                    }),
+                )
+            })
+            .collect(),
+        labels: (0..nodes)
+            .map(|index| {
+                (
+                    name(index),
+                    Item {
+                        revision: 1,
+                        value: Some(labels(index)),
+                    },
+                )
+            })
+            .collect(),
+        selectors: (0..services)
+            .map(|index| {
+                let selector = format!("app={}", service(index))
+                    .parse()
+                    .expect("the selector is valid");
+                (
+                    service(index),
+                    Item {
+                        revision: 1,
+                        value: Some(selector),
+                    },
+                )
+            })
+            .collect(),
+        roster,
+    }
+}
