Index the agents of each service by label

Change: an index on first use after each change looks only at agents that carry a label the selector asks for.

--- a/crates/dogwoodpitch-lab/src/slopes.rs
+++ b/crates/dogwoodpitch-lab/src/slopes.rs
@@ -186,5 +186,6 @@
             })
             .collect(),
         roster,
+        ..Snapshot::default()
     }
 }
--- a/crates/dogwoodpitch/src/state/config.rs
+++ b/crates/dogwoodpitch/src/state/config.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::{
+    index::Index,
     label,
-    roster::{Node, Role, Roster},
+    roster::{Node, Roster},
     selector::Selector,
     service::{Id, Service},
 };
@@ -36,6 +37,9 @@
     pub selectors: BTreeMap<String, Item<Selector>>,
     /// Announced nodes.
     pub roster: Roster,
+    /// Agents of each service, derived from the other fields.
+    #[serde(skip)]
+    pub index: Index,
 }
 
 impl Snapshot {
@@ -52,6 +56,9 @@
             self.revision = other.revision;
             changed = true;
         }
+        if changed {
+            self.index.clear();
+        }
         changed
     }
 
@@ -83,10 +90,11 @@
     }
 
     /// Agents whose labels match the selector of a service.
-    pub fn agents<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Node> {
-        self.roster
-            .of_role(Role::Agent)
-            .filter(move |node| self.selects(service, &node.name))
+    pub fn agents<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Node> + use<'a> {
+        self.index
+            .agents(self, service)
+            .iter()
+            .filter_map(|name| self.roster.get(name))
     }
 
     /// Addresses of WebSocket links of all other nodes.
--- a/crates/dogwoodpitch/src/state/selector.rs
+++ b/crates/dogwoodpitch/src/state/selector.rs
@@ -38,6 +38,14 @@
         !self.requirements.is_empty() && self.requirements.iter().all(|requirement| requirement.matches(labels))
     }
 
+    /// A label that each match must carry, if a requirement names exactly one.
+    pub fn required(&self) -> Option<(&str, &str)> {
+        self.requirements.iter().find_map(|requirement| match requirement {
+            Requirement::In { key, values } if values.len() == 1 => Some((key.as_str(), values[0].as_str())),
+            _ => None,
+        })
+    }
+
     /// Whether the selector has no requirement and so matches nothing.
     pub fn is_empty(&self) -> bool {
         self.requirements.is_empty()
--- a/crates/dogwoodpitch/tests/configuration.rs
+++ b/crates/dogwoodpitch/tests/configuration.rs
@@ -11,6 +11,7 @@
     state::{
         config::{Item, Snapshot},
         label,
+        roster::{Node, Role},
         selector::Selector,
     },
 };
@@ -106,6 +107,56 @@
     assert_eq!(snapshot.revision, 9);
 }
 
+/// Guards against an index that still shows the agents from before a change.
+#[test]
+fn agents_of_a_service_follow_each_change() {
+    let node = |name: &str, role| Node {
+        name: name.to_owned(),
+        role,
+        data_centre: "peristeri".to_owned(),
+        datagram: "127.0.0.1:4000".parse().unwrap(),
+        peer: "127.0.0.1:4001".parse().unwrap(),
+        http: "127.0.0.1:4002".parse().unwrap(),
+        incarnation: 1,
+    };
+    let change = |revision: u64, selector: &str, name: &str, app: &str| {
+        let mut change = Snapshot {
+            revision,
+            ..Snapshot::default()
+        };
+        let selector = Item {
+            revision,
+            value: Some(selector.parse().unwrap()),
+        };
+        change.selectors.insert("order-board".to_owned(), selector);
+        change.labels.insert(
+            name.to_owned(),
+            Item {
+                revision,
+                value: Some(labels(&[("app", app)])),
+            },
+        );
+        change
+    };
+    let mut snapshot = Snapshot::default();
+    for name in ["a", "b", "c"] {
+        snapshot.roster.insert(node(name, Role::Agent));
+    }
+    snapshot.roster.insert(node("balancer", Role::Balancer));
+    for (change, expected) in [
+        (change(1, "app=one", "a", "one"), vec!["a"]),
+        (change(2, "app=one", "b", "one"), vec!["a", "b"]),
+        (change(3, "app in (one,two)", "c", "two"), vec!["a", "b", "c"]),
+        (change(4, "app!=one", "balancer", "two"), vec!["c"]),
+        (change(5, "", "a", "one"), vec![]),
+    ] {
+        snapshot.apply(change);
+        let agents: Vec<_> = snapshot.agents("order-board").map(|node| node.name.as_str()).collect();
+        assert_eq!(agents, expected, "revision {}", snapshot.revision);
+    }
+    assert_eq!(snapshot.agents("intake-desk").count(), 0);
+}
+
 const BALANCER: &str = r#"{
   "ingress": "127.0.0.1:4001",
   "node": {
