--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod gateway;
 mod measure;
+mod slopes;
 mod store;
 
 use std::process::ExitCode;
@@ -24,6 +25,7 @@
   demo      runs the whole path on loopback and checks it
   measure   runs one scenario under load and faults, and prints its figures
   forward   measures the data path of the balancer
+  slopes    measures how state, processor time and traffic grow
 
 Options:
   --help      prints this text, or the options of a command
@@ -44,6 +46,7 @@
             "demo" => demo::run(args),
             "measure" => measure::run(args),
             "forward" => forward::run(args),
+            "slopes" => slopes::run(args),
             other => Err(format!("unknown command {other:?}; see --help")),
         },
         Ok(None) if args.contains("--version") => {
