Settle and test store faults, drop expired roster entries

A slow store timed out each call after one second, entries of replaced VMs stayed in the roster for ever, and a node that started in an outage asked its seeds only after the store had timed out.

The time for one attempt now follows the answers up to four seconds. A node without a configuration asks its seeds after 300 ms. `agents` shows whether an agent is draining.

--- a/crates/dogwoodpitch/src/coordination/change.rs
+++ b/crates/dogwoodpitch/src/coordination/change.rs
@@ -67,14 +67,14 @@
 #[derive(Debug, Snafu)]
 pub enum Failure {
     /// Another change came first, and this one has not taken effect and will not.
-    #[snafu(display("code {}: another change came first", Code::CONFLICT))]
+    #[snafu(display("another change came first"))]
     Conflict {
         /// The item as the other change left it.
         current: Base<serde_json::Value>,
     },
     /// Another key of the change was written meanwhile. This change has not taken effect and will not; it may be made
     /// again on a new base.
-    #[snafu(display("code {}: another change came first", Code::CONFLICT))]
+    #[snafu(display("another change came first"))]
     Contention,
     /// The change did not take effect.
     #[snafu(display("{source}"))]
@@ -83,7 +83,7 @@
         source: Error,
     },
     /// The change may have taken effect, or may still.
-    #[snafu(display("code {}: outcome of change {id} is unknown: {text}", Code::WRITE_UNKNOWN))]
+    #[snafu(display("outcome of change {id} is unknown: {text}"))]
     Unknown {
         /// ID of the change.
         id: String,
@@ -92,6 +92,17 @@
     },
 }
 
+impl Failure {
+    /// Result code.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Conflict { .. } | Self::Contention => Code::CONFLICT,
+            Self::Store { source } => source.code(),
+            Self::Unknown { .. } => Code::WRITE_UNKNOWN,
+        }
+    }
+}
+
 impl Change {
     /// Change of an item to a value, or its delete.
     pub fn new<T: Serialize>(key: String, base: &Base<T>, value: Option<&T>) -> Self {
--- a/crates/dogwoodpitch/src/coordination/config.rs
+++ b/crates/dogwoodpitch/src/coordination/config.rs
@@ -20,6 +20,7 @@
         store::{Compare, HEAD, NODE, NODE_HEAD, Put, Range, Step, Txn},
     },
     state::{
+        absence::Absence,
         config::{Item, Snapshot},
         roster::{Node, Role},
     },
@@ -30,8 +31,12 @@
 const HEAD_READS_PER_S: f64 = 20.0;
 /// Shortest mean interval of head reads of one node.
 const MIN_HEAD_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time for one read of the store by a daemon.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for one read of the store by a daemon. It leaves time for a slow answer after a time-out.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Mean interval of complete reads of the announcements, which find the entries that have expired.
+const ROSTER_INTERVAL: Duration = Duration::from_mins(10);
+/// Time that the store has for the first configuration before peers are asked too.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time to live of a node's announcement.
 const LEASE_TTL: Duration = Duration::from_mins(10);
 /// Interval of lease renewals: two renewals may fail before the lease expires.
@@ -42,6 +47,8 @@
 const DIGEST_FANOUT: usize = 4;
 /// Shortest time between two rounds of digests, so that a burst of changes costs few rounds.
 const DIGEST_PAUSE: Duration = Duration::from_millis(100);
+/// The same after a change of the roster only: when a fleet starts, each node's announcement is such a change.
+const ROSTER_DIGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest time for a pull.
 const PULL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Clock difference between nodes that an incremental pull of the roster tolerates, in deciseconds.
@@ -77,16 +84,17 @@
     roster_pause: Cell<Duration>,
     roster_pull_after: Cell<Option<Instant>>,
     pulled_bytes: Cell<u64>,
+    absence: RefCell<Absence>,
+    /// Outcome of the latest read of the store; `None` before the first.
+    store_reachable: Cell<Option<bool>>,
 }
 
-/// Where the configuration was last obtained.
+/// Where the revision in force was obtained.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
     None,
     Store,
     Peer,
-    /// The store does not answer; the last good configuration stays in force.
-    LastGood,
 }
 
 impl Source {
@@ -95,7 +103,6 @@
             Self::None => "none",
             Self::Store => "store",
             Self::Peer => "peer",
-            Self::LastGood => "last-good",
         }
     }
 }
@@ -122,10 +129,13 @@
             roster_pause: Cell::new(MIN_ROSTER_PAUSE),
             roster_pull_after: Cell::new(None),
             pulled_bytes: Cell::new(0),
+            absence: RefCell::default(),
+            store_reachable: Cell::new(None),
         };
         let sync = Self::open(own, Snapshot::default(), Some(peers));
         monoio::spawn(sync.clone().follow_store());
         monoio::spawn(sync.clone().gossip());
+        monoio::spawn(sync.clone().introduce());
         sync
     }
 
@@ -176,6 +186,12 @@
         self.merge(snapshot, Source::Peer);
     }
 
+    /// Whether the latest read of the store succeeded.
+    pub fn is_store_reachable(&self) -> bool {
+        let peers = self.0.link.as_ref();
+        peers.is_some_and(|peers| peers.store_reachable.get() == Some(true))
+    }
+
     /// Bytes of HTTP calls to the store, of pulls, and of control frames.
     pub fn control_bytes(&self) -> u64 {
         self.0.link.as_ref().map_or(0, |peers| {
@@ -207,13 +223,15 @@
     }
 
     /// Merges a snapshot and returns whether anything changed.
-    fn merge(&self, other: Snapshot, source: Source) -> bool {
+    fn merge(&self, mut other: Snapshot, source: Source) -> bool {
         let known = self.snapshot();
-        if source == Source::Store && other.revision < known.revision && other.revision > 0 {
-            log::warn!(
-                event = "config.store_behind", store_revision = other.revision, revision = known.revision;
-                "the store has an older revision; the configuration in force stays"
-            );
+        if let (Source::Peer, Some(peers)) = (source, &self.0.link) {
+            let absence = peers.absence.borrow();
+            let dropped: Vec<_> = other.roster.iter().filter(|node| !absence.admits(node)).collect();
+            let dropped: Vec<_> = dropped.into_iter().map(|node| node.name.clone()).collect();
+            for name in dropped {
+                other.roster.remove(&name);
+            }
         }
         let mut merged = (*known).clone();
         if !merged.apply(other) {
@@ -224,24 +242,30 @@
                 event = "config.applied", revision = merged.revision, former = known.revision, source = source.name();
                 "configuration applied"
             );
-            self.set_source(source);
-        }
-        #[expect(clippy::cast_precision_loss, reason = "revisions stay far below 2^52")]
-        metrics::gauge!("dogwoodpitch_config_revision").set(merged.revision as f64);
-        self.0.snapshot.replace(Rc::new(merged));
-        for waker in self.0.wakers.take() {
-            waker.wake();
+            let former = self.0.source.replace(source);
+            if former != source {
+                log::info!(
+                    event = "config.source", source = source.name(), former = former.name();
+                    "source of the configuration changed"
+                );
+            }
         }
+        self.replace(merged);
         true
     }
 
-    fn set_source(&self, source: Source) {
-        let former = self.0.source.replace(source);
-        if former != source {
-            log::info!(
-                event = "config.source", source = source.name(), former = former.name();
-                "source of the configuration changed"
-            );
+    fn replace(&self, snapshot: Snapshot) {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "revisions and node counts stay far below 2^52"
+        )]
+        {
+            metrics::gauge!("dogwoodpitch_config_revision").set(snapshot.revision as f64);
+            metrics::gauge!("dogwoodpitch_nodes").set(snapshot.roster.len() as f64);
+        }
+        self.0.snapshot.replace(Rc::new(snapshot));
+        for waker in self.0.wakers.take() {
+            waker.wake();
         }
     }
 }
@@ -255,7 +279,8 @@
     newer.map(|(name, item)| (name.clone(), item.clone())).collect()
 }
 
-/// Lease of this node's announcement. Whether it still holds is only known from the store's answer to a renewal.
+/// Lease of this node's announcement, 0 for none. Whether it still holds is only known from the store's answer to a
+/// renewal.
 #[derive(Debug, Clone, Copy)]
 struct Announced {
     lease: u64,
@@ -268,29 +293,42 @@
         let Some(peers) = &self.0.link else { return };
         let mut nodes_revision = 0;
         let mut announced = None;
-        let mut introduced = false;
+        let mut roster_at = Instant::now() + jittered(ROSTER_INTERVAL);
         loop {
-            match self.read_store(peers, &mut nodes_revision).await {
-                Ok(()) => match self.announce(peers, announced).await {
+            let mut read = self.read_store(peers, &mut nodes_revision).await;
+            if read.is_ok() && Instant::now() >= roster_at {
+                read = self.read_roster(peers).await;
+                roster_at = Instant::now() + jittered(ROSTER_INTERVAL);
+            }
+            self.note_store(peers, &read);
+            if read.is_ok() {
+                match self.announce(peers, announced).await {
                     Ok(state) => announced = state,
                     Err(error) => {
                         log::warn!(event = "node.announce_failed", error:% = error; "cannot announce this node");
                     }
-                },
-                Err(error) => {
-                    if self.0.source.get() != Source::LastGood {
-                        log::warn!(event = "store.unavailable", error:% = error; "the store does not answer");
-                    }
-                    self.set_source(Source::LastGood);
                 }
             }
-            if !introduced {
-                introduced = self.introduce(peers).await;
-            }
             time::sleep_until(Instant::now() + jittered(self.head_interval())).await;
         }
     }
 
+    /// Logs when the store stops or starts to answer.
+    fn note_store(&self, peers: &Peers, read: &Result<(), Error>) {
+        let former = peers.store_reachable.replace(Some(read.is_ok()));
+        let revision = self.snapshot().revision;
+        match read {
+            Ok(()) if former == Some(false) => {
+                log::info!(event = "store.available", revision = revision; "the store answers again");
+            }
+            Err(error) if former != Some(false) => log::warn!(
+                event = "store.unavailable", code = error.code().0, revision = revision, error:% = error;
+                "the store does not answer; the configuration in force stays"
+            ),
+            _ => {}
+        }
+    }
+
     fn head_interval(&self) -> Duration {
         let nodes = u32::try_from(self.snapshot().roster.len()).unwrap_or(u32::MAX);
         Duration::from_secs_f64(f64::from(nodes) / HEAD_READS_PER_S).max(MIN_HEAD_INTERVAL)
@@ -301,10 +339,6 @@
         let deadline = Instant::now() + READ_TIMEOUT;
         let heads = vec![Range::key(HEAD), Range::key(NODE_HEAD)];
         let reply = peers.store.ranges(heads, deadline).await?;
-        if self.0.source.get() == Source::LastGood {
-            log::info!(event = "store.available"; "the store answers again");
-            self.set_source(Source::Store);
-        }
         let (mut config, mut nodes) = (0, 0);
         for entry in reply.entries() {
             if entry.key == HEAD.as_bytes() {
@@ -314,6 +348,12 @@
             }
         }
         let known = self.snapshot().revision;
+        if config < known && config > 0 {
+            log::warn!(
+                event = "config.store_behind", store_revision = config, revision = known;
+                "the store has an older revision; the configuration in force stays"
+            );
+        }
         if config <= known && nodes <= *nodes_revision {
             return Ok(());
         }
@@ -327,6 +367,29 @@
         Ok(())
     }
 
+    /// Reads all announcements and drops the entries that have been missing for long.
+    async fn read_roster(&self, peers: &Peers) -> Result<(), Error> {
+        let deadline = Instant::now() + READ_TIMEOUT;
+        let reply = peers.store.range(&Range::prefix_after(NODE, 0), deadline).await?;
+        let mut listed = store::snapshot(reply.kvs);
+        listed.roster.insert(self.own().clone());
+        let known = self.snapshot();
+        let names = peers
+            .absence
+            .borrow_mut()
+            .observe(&known.roster, &listed.roster, Instant::now());
+        if names.is_empty() {
+            return Ok(());
+        }
+        let mut snapshot = (*known).clone();
+        for name in names {
+            log::info!(event = "node.dropped", name = name.as_str(); "the entry of a node has expired");
+            snapshot.drop_node(&name);
+        }
+        self.replace(snapshot);
+        Ok(())
+    }
+
     /// Writes this node's entry with a lease, or renews the lease when it is due.
     async fn announce(&self, peers: &Peers, announced: Option<Announced>) -> Result<Option<Announced>, Error> {
         let deadline = Instant::now() + READ_TIMEOUT;
@@ -334,13 +397,13 @@
             if Instant::now() < state.renew_at {
                 return Ok(announced);
             }
-            if peers.store.keep_alive(state.lease, deadline).await?.ttl > 0 {
+            if state.lease != 0 && peers.store.keep_alive(state.lease, deadline).await?.ttl > 0 {
                 return Ok(Some(Announced {
                     renew_at: Instant::now() + jittered(RENEW_INTERVAL),
                     ..state
                 }));
             }
-            log::warn!(event = "node.lease_expired", lease = state.lease; "the lease of this node's entry has expired");
+            log::warn!(event = "node.lease_expired", lease = state.lease; "this node's entry is not held by its lease");
         }
         let key = format!("{NODE}{}", self.own().name);
         let current = peers.store.range(&Range::key(&key), deadline).await?.kvs.pop();
@@ -349,7 +412,10 @@
             .and_then(|entry| serde_json::from_slice::<Node>(&entry.value).ok());
         if other.is_some_and(|node| node.incarnation > self.own().incarnation) {
             log::error!(event = "node.superseded"; "a newer process announced itself under this node's name");
-            return Ok(None);
+            return Ok(Some(Announced {
+                lease: 0,
+                renew_at: Instant::now() + jittered(RENEW_INTERVAL),
+            }));
         }
         let lease = peers.store.grant(LEASE_TTL, deadline).await?.id;
         let value = serde_json::to_vec(self.own()).expect("a node has string keys");
@@ -383,19 +449,26 @@
         }))
     }
 
-    /// Pulls once from a random known node or seed, which tells the others about this node and, while the store is
-    /// down, gives the configuration.
-    async fn introduce(&self, peers: &Peers) -> bool {
-        let mut addresses: Vec<_> = self.snapshot().peers(&self.own().name).collect();
-        addresses.extend(&peers.seeds);
-        addresses.retain(|address| *address != self.own().peer);
-        addresses.shuffle(&mut rand::rng());
-        for address in addresses.into_iter().take(DIGEST_FANOUT) {
-            if self.pull(peers, address, 0).await {
-                return true;
+    /// Pulls from a random known node or seed until one has answered and there is a configuration or a store. This tells
+    /// the others about this node and, while the store is down, gives the configuration.
+    async fn introduce(self) {
+        let Some(peers) = &self.0.link else { return };
+        let first_read = Instant::now() + FIRST_READ_TIMEOUT;
+        let _ = time::before(first_read, self.changed(&self.snapshot())).await;
+        loop {
+            let mut addresses: Vec<_> = self.snapshot().peers(&self.own().name).collect();
+            addresses.extend(&peers.seeds);
+            addresses.retain(|address| *address != self.own().peer);
+            addresses.shuffle(&mut rand::rng());
+            let mut answered = false;
+            for address in addresses.into_iter().take(DIGEST_FANOUT) {
+                answered = answered || self.pull(peers, address, 0).await;
+            }
+            if answered && (self.snapshot().revision > 0 || self.is_store_reachable()) {
+                return;
             }
+            time::sleep_until(Instant::now() + jittered(MIN_HEAD_INTERVAL)).await;
         }
-        false
     }
 }
 
@@ -407,15 +480,27 @@
         loop {
             let deadline = Instant::now() + jittered(DIGEST_INTERVAL);
             if let Some(snapshot) = time::before(deadline, self.changed(&known)).await {
+                let only_roster = snapshot.revision == known.revision;
                 known = snapshot;
                 self.send_digests(peers, DIGEST_FANOUT);
                 time::sleep_until(Instant::now() + DIGEST_PAUSE).await;
+                if only_roster {
+                    let _ = time::before(Instant::now() + ROSTER_DIGEST_PAUSE, self.newer(known.revision)).await;
+                }
             } else {
                 self.send_digests(peers, 1);
             }
         }
     }
 
+    /// Waits for a revision above the given one.
+    async fn newer(&self, revision: u64) {
+        let mut current = self.snapshot();
+        while current.revision <= revision {
+            current = self.changed(&current).await;
+        }
+    }
+
     fn send_digests(&self, peers: &Peers, count: usize) {
         let snapshot = self.snapshot();
         let others = snapshot.roster.iter().filter(|node| node.name != self.own().name);
--- a/crates/dogwoodpitch/src/coordination/status.rs
+++ b/crates/dogwoodpitch/src/coordination/status.rs
@@ -31,6 +31,8 @@
     pub revision: u64,
     /// Number of known nodes, this one included.
     pub nodes: usize,
+    /// Whether the latest read of the store succeeded.
+    pub store_reachable: bool,
     /// Incarnation of the process.
     pub incarnation: u32,
     /// Whether the node is stopping.
@@ -38,7 +40,7 @@
 }
 
 /// Serves the endpoints on the `http` address of the node. `/status` is a JSON object with `node`, `role`, `data_centre`,
-/// `revision`, `incarnation` and `draining`, and the members of `extra`.
+/// `revision`, `nodes`, `store_reachable`, `incarnation` and `draining`, and the members of `extra`.
 pub fn serve(
     sync: &Sync,
     recorder: Recorder,
@@ -81,6 +83,7 @@
         data_centre: own.data_centre.clone(),
         revision: snapshot.revision,
         nodes: snapshot.roster.len(),
+        store_reachable: sync.is_store_reachable(),
         incarnation: own.incarnation,
         draining,
     };
--- a/crates/dogwoodpitch/src/coordination/store.rs
+++ b/crates/dogwoodpitch/src/coordination/store.rs
@@ -26,8 +26,10 @@
     transport::{http, time},
 };
 
-/// Longest time for one attempt. The store answers in milliseconds, so a slower one counts as down for this attempt.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for one attempt at first. The store answers in milliseconds; an address without an answer is left for the next.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for one attempt after several time-outs: a slow store is still usable.
+const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Rounds over all addresses in one call.
 const MAX_ROUNDS: u32 = 3;
 /// Mean pause after the first round; it doubles each time.
@@ -41,6 +43,8 @@
 struct Inner {
     addresses: Vec<SocketAddr>,
     current: Cell<usize>,
+    /// Doubles with each time-out and follows the time of the answers.
+    attempt_timeout: Cell<Duration>,
     bytes: Cell<u64>,
 }
 
@@ -48,13 +52,13 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The call did not take effect: no address accepted a connection, or it was a read without an answer.
-    #[snafu(display("code {}: store unavailable: {text}", Code::STORE_UNAVAILABLE))]
+    #[snafu(display("store unavailable: {text}"))]
     Unavailable {
         /// Failure of the last address.
         text: String,
     },
     /// The call was sent and no answer arrived: it may take effect, also later.
-    #[snafu(display("code {}: outcome of the call to the store is unknown: {text}", Code::WRITE_UNKNOWN))]
+    #[snafu(display("outcome of the call to the store is unknown: {text}"))]
     Unknown {
         /// Cause.
         text: String,
@@ -94,6 +98,7 @@
         Self(Rc::new(Inner {
             addresses,
             current: Cell::new(current),
+            attempt_timeout: Cell::new(MIN_ATTEMPT_TIMEOUT),
             bytes: Cell::new(0),
         }))
     }
@@ -182,7 +187,9 @@
 
     async fn attempt<A: DeserializeOwned>(&self, path: &str, body: &Bytes, deadline: Instant) -> Result<A, Error> {
         let address = self.0.addresses[self.0.current.get()];
-        let deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+        let start = Instant::now();
+        let timeout = self.0.attempt_timeout.get();
+        let deadline = deadline.min(start + timeout);
         let request = Request::post(path)
             .header(header::HOST, address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
@@ -191,6 +198,14 @@
         let answer = http::call(address, deadline, request).await;
         let received = answer.as_ref().map_or(0, |(_, body)| body.len());
         self.0.bytes.set(self.0.bytes.get() + (body.len() + received) as u64);
+        let next_timeout = match &answer {
+            Ok(_) => start.elapsed() * 2,
+            Err(http::Error::Timeout { .. }) => timeout * 2,
+            Err(_) => timeout,
+        };
+        self.0
+            .attempt_timeout
+            .set(next_timeout.clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT));
         match answer {
             Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).map_err(|error| Error::Unknown {
                 text: format!("answer of {address}: {error}"),
--- a/crates/dogwoodpitch/src/state/config.rs
+++ b/crates/dogwoodpitch/src/state/config.rs
@@ -62,6 +62,12 @@
         changed
     }
 
+    /// Drops a roster entry.
+    pub fn drop_node(&mut self, name: &str) {
+        self.roster.remove(name);
+        self.index.clear();
+    }
+
     /// Service of a name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)?.value.as_ref()
--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! Data model and decisions. No I/O happens in this layer, and time is always passed in.
 
+pub mod absence;
 pub mod budget;
 pub mod config;
 pub mod index;
--- /dev/null
+++ b/crates/dogwoodpitch/tests/stand_in/mod.rs
@@ -0,0 +1,64 @@
+//! The store stand-in of the lab on a thread of its own, for tests that cannot depend on the lab's binary.
+
+#[path = "../../../dogwoodpitch-lab/src/gateway.rs"]
+mod gateway;
+
+use std::{
+    future::Future,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::mpsc,
+    thread,
+};
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+use serde_json::Value;
+
+/// Runs a future on a new runtime.
+pub(crate) fn run<F: Future>(future: F) -> F::Output {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
+    runtime.block_on(future)
+}
+
+/// Starts an empty store that runs until the test process ends.
+pub(crate) fn start() -> SocketAddr {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        run(async {
+            let listener = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            gateway::serve(listener).await;
+        });
+    });
+    receiver.recv().unwrap()
+}
+
+/// Address on which nothing listens.
+pub(crate) fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Makes one HTTP call.
+pub(crate) fn post(address: SocketAddr, path: &str, body: &Value) -> Value {
+    let body = body.to_string();
+    let mut stream = TcpStream::connect(address).unwrap();
+    let length = body.len();
+    write!(
+        stream,
+        "POST {path} HTTP/1.1\r\nhost: store\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+    .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    serde_json::from_str(body).unwrap()
+}
+
+/// Sets the fault of a store.
+pub(crate) fn set_fault(store: SocketAddr, kind: &str, millis: u64) {
+    post(
+        store,
+        "/lab/fault",
+        &serde_json::json!({ "kind": kind, "millis": millis }),
+    );
+}
--- /dev/null
+++ b/crates/dogwoodpitch/tests/store.rs
@@ -0,0 +1,238 @@
+//! Store client and changes of operators.
+
+mod stand_in;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use dogwoodpitch::{
+    coordination::{
+        change::{self, Accepted, Base, Change, Failure},
+        store::Store,
+    },
+    protocol::{
+        code::Code,
+        store::{Compare, HISTORY, KeepAliveReply, LABEL, Put, Range, RangeReply, Step, Txn, TxnReply},
+    },
+};
+use serde_json::json;
+
+use stand_in::{free_address, run, set_fault, start};
+
+fn deadline() -> Instant {
+    Instant::now() + Duration::from_secs(30)
+}
+
+fn key() -> String {
+    format!("{LABEL}node")
+}
+
+async fn read(store: &Store) -> Base<String> {
+    change::read(store, &key(), deadline()).await.unwrap()
+}
+
+/// Change of the item to a value, based on its present state.
+async fn prepare(store: &Store, value: &str) -> Change {
+    Change::new(key(), &read(store).await, Some(&value.to_owned()))
+}
+
+async fn set(store: &Store, value: &str) -> Accepted {
+    prepare(store, value).await.write(store, deadline()).await.unwrap()
+}
+
+async fn store_revision(store: &Store) -> u64 {
+    let reply = store.range(&Range::key("none"), deadline()).await;
+    reply.unwrap().header.revision
+}
+
+/// Guards against a client and a stand-in that agree with each other but not with the published gateway. The texts
+/// follow the examples of the gateway's documentation.
+#[test]
+fn messages_have_the_published_format() {
+    let txn = Txn {
+        compare: vec![Compare {
+            key: "foo".into(),
+            mod_revision: 2,
+            ..Compare::default()
+        }],
+        success: vec![Step::Put(Put {
+            key: "foo".into(),
+            value: "bar".into(),
+            lease: 7,
+        })],
+        failure: vec![Step::Range(Range::key("foo"))],
+    };
+    assert_eq!(
+        serde_json::to_value(&txn).unwrap(),
+        json!({
+            "compare": [{ "key": "Zm9v", "target": "MOD", "result": "EQUAL", "mod_revision": "2" }],
+            "success": [{ "requestPut": { "key": "Zm9v", "value": "YmFy", "lease": "7" } }],
+            "failure": [{ "requestRange": { "key": "Zm9v", "min_mod_revision": "0" } }],
+        })
+    );
+    assert_eq!(
+        serde_json::to_value(Range::prefix_after("foo", 4)).unwrap(),
+        json!({ "key": "Zm9v", "range_end": "Zm9w", "min_mod_revision": "5" })
+    );
+    let header =
+        r#"{"cluster_id":"12585971608760269493","member_id":"13847567121247652255","revision":"3","raft_term":"2"}"#;
+    let range: RangeReply = serde_json::from_str(&format!(
+        r#"{{"header":{header},"kvs":[{{"key":"Zm9v","create_revision":"2","mod_revision":"2","version":"1","value":"YmFy"}}],"count":"1"}}"#
+    ))
+    .unwrap();
+    assert_eq!((range.header.revision, range.kvs[0].mod_revision), (3, 2));
+    assert_eq!(range.kvs[0].value, "bar");
+    let empty: RangeReply = serde_json::from_str(&format!(r#"{{"header":{header}}}"#)).unwrap();
+    assert!(empty.kvs.is_empty());
+    let refused: TxnReply = serde_json::from_str(&format!(
+        r#"{{"header":{header},"responses":[{{"response_range":{{}}}}]}}"#
+    ))
+    .unwrap();
+    assert!(!refused.succeeded);
+    let accepted: TxnReply = serde_json::from_str(&format!(
+        r#"{{"header":{header},"succeeded":true,"responses":[{{"response_put":{{"header":{{"revision":"3"}}}}}}]}}"#
+    ))
+    .unwrap();
+    assert!(accepted.succeeded && accepted.header.revision == 3);
+    let expired: KeepAliveReply = serde_json::from_str(r#"{"result":{"ID":"7587821338341002662"}}"#).unwrap();
+    assert_eq!((expired.result.id, expired.result.ttl), (7_587_821_338_341_002_662, 0));
+}
+
+/// Guards against a write that is reported as failed, or made twice, because its reply was lost.
+#[test]
+fn lost_replies_are_settled_and_written_once() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        set(&store, "first").await;
+        // A slow store answers the first attempt after its time-out, and the write takes effect even later.
+        for (kind, millis) in [("lost_reply", 0), ("lost_reply", 1_500), ("slow", 2_500)] {
+            let change = prepare(&store, kind).await;
+            let before = store_revision(&store).await;
+            set_fault(address, kind, millis);
+            let accepted = change.write(&store, deadline()).await.unwrap();
+            set_fault(address, "none", 0);
+            let after = store_revision(&store).await;
+            let item = read(&store).await;
+            assert_eq!((after, item.revision), (before + 1, before + 1), "{kind} {millis}");
+            let expected = Accepted {
+                revision: after,
+                superseded: false,
+            };
+            assert_eq!((accepted, item.value().unwrap().as_str()), (expected, kind));
+        }
+    });
+}
+
+/// Guards against a repeated attempt that undoes what another operator wrote after the first attempt took effect.
+#[test]
+fn repeated_changes_find_themselves_in_the_history() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        set(&store, "base").await;
+        let change = prepare(&store, "mine").await;
+        change.write(&store, deadline()).await.unwrap();
+        for number in 1..=HISTORY {
+            let other = set(&store, &format!("other {number}")).await;
+            let again = change.write(&store, deadline()).await.unwrap();
+            assert!(again.superseded && again.revision == other.revision, "change {number}");
+        }
+        set(&store, "one too many").await;
+        let failure = change.write(&store, deadline()).await.unwrap_err();
+        assert_eq!(failure.code(), Code::WRITE_UNKNOWN);
+        assert_eq!(read(&store).await.value().unwrap(), "one too many");
+    });
+}
+
+/// Guards against one operator who overwrites the change of another without seeing it.
+#[test]
+fn one_of_two_operators_gets_the_conflict() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        for round in 0..10 {
+            let first = prepare(&store, &format!("first {round}")).await;
+            let second = prepare(&store, &format!("second {round}")).await;
+            let (first, second) =
+                futures_util::join!(first.write(&store, deadline()), second.write(&store, deadline()));
+            let (winner, loser) = match (first, second) {
+                (Ok(_), Err(failure)) => (format!("first {round}"), failure),
+                (Err(failure), Ok(_)) => (format!("second {round}"), failure),
+                both => panic!("expected one winner, got {both:?}"),
+            };
+            let Failure::Conflict { current } = loser else {
+                panic!("expected a conflict, got {loser:?}")
+            };
+            assert_eq!(current.value().unwrap(), &json!(winner));
+            assert_eq!(read(&store).await.value().unwrap(), &winner);
+        }
+    });
+}
+
+/// Guards against a conflict that is reported as the operator's fault when only a shared key was written.
+#[test]
+fn contention_on_another_key_is_no_conflict() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        let mut change = prepare(&store, "mine").await;
+        change.compare_and_put("shared".to_owned(), 99, &1);
+        let failure = change.write(&store, deadline()).await.unwrap_err();
+        assert!(matches!(failure, Failure::Contention), "{failure:?}");
+        assert_eq!(read(&store).await.value(), None);
+    });
+}
+
+/// Guards against a failed write that is reported with the wrong certainty.
+#[test]
+fn failures_tell_whether_the_change_may_be_in_force() {
+    let short = || Instant::now() + Duration::from_millis(500);
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        let change = prepare(&store, "value").await;
+        // No connection: nothing can have taken effect.
+        let down = Store::open(vec![free_address()]);
+        assert_eq!(
+            change.write(&down, short()).await.unwrap_err().code(),
+            Code::STORE_UNAVAILABLE
+        );
+        // The connection breaks after the call was sent.
+        set_fault(address, "outage", 0);
+        assert_eq!(
+            change.write(&store, short()).await.unwrap_err().code(),
+            Code::WRITE_UNKNOWN
+        );
+        assert_eq!(
+            change::read::<String>(&store, &key(), short())
+                .await
+                .unwrap_err()
+                .code(),
+            Code::STORE_UNAVAILABLE
+        );
+        set_fault(address, "none", 0);
+        assert_eq!(read(&store).await.value(), None);
+        // The same change can still be made, at most once.
+        change.write(&store, deadline()).await.unwrap();
+        assert_eq!(
+            change.write(&store, deadline()).await.unwrap().revision,
+            read(&store).await.revision
+        );
+    });
+}
+
+/// Guards against a client that stays with an address of the store that is down.
+#[test]
+fn other_addresses_of_the_store_are_tried() {
+    let address = start();
+    run(async {
+        let addresses: Vec<SocketAddr> = vec![free_address(), address, free_address()];
+        for number in 0..6 {
+            // The first address is chosen at random.
+            set(&Store::open(addresses.clone()), &format!("value {number}")).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/dogwoodpitch/tests/sync.rs
@@ -0,0 +1,305 @@
+//! Synchronization of the configuration among nodes.
+
+mod stand_in;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    time::{Duration, Instant},
+};
+
+use dogwoodpitch::{
+    coordination::{
+        change::{self, Base, Change},
+        config::Sync,
+        peer,
+        store::Store,
+    },
+    protocol::{
+        peer::Digest,
+        settings,
+        store::{NODE, Range, SERVICE},
+    },
+    state::{
+        absence::{Absence, GRACE},
+        config::{Item, Snapshot},
+        label,
+        roster::{Node, Role, Roster},
+        service::{Id, Service},
+    },
+    transport::udp::Port,
+};
+use quickcheck::{TestResult, quickcheck};
+use serde_json::json;
+
+use stand_in::{free_address, run, set_fault, start};
+
+const CLUSTER_KEY: [u8; 32] = [7; 32];
+const BOUND: Duration = Duration::from_mins(1);
+
+fn settings(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> settings::Node {
+    serde_json::from_value(json!({
+        "name": name, "data_centre": "peristeri", "datagram": free_address(), "peer": free_address(),
+        "http": free_address(), "store": [store], "seeds": seeds,
+        "keys": {
+            "connection_id": [{ "epoch": 1, "secret": "AAAAAAAAAAAAAAAAAAAAAA==" }],
+            "frame": "AAAAAAAAAAAAAAAAAAAAAA==",
+            "cluster": "BwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwc=",
+        },
+    }))
+    .unwrap()
+}
+
+/// Starts the synchronization of a node as a daemon does, with its links.
+fn spawn(name: &str, incarnation: u32, store: SocketAddr, seeds: &[SocketAddr]) -> Sync {
+    let settings = settings(name, store, seeds);
+    let port = Port::bind(settings.datagram, settings.keys.frame()).unwrap();
+    let sync = Sync::spawn(&settings, Role::Agent, incarnation, port.clone());
+    peer::listen(&sync, CLUSTER_KEY, |_link, _message| std::future::ready(None)).unwrap();
+    let receiver = sync.clone();
+    monoio::spawn(async move {
+        loop {
+            let handle = |from, _header, payload: &[u8]| {
+                if let Ok(digest) = dogwoodpitch::protocol::request::parse::<Digest>(payload) {
+                    receiver.receive_digest(from, &digest);
+                }
+            };
+            if port.recv(handle).await.is_err() {
+                return;
+            }
+        }
+    });
+    sync
+}
+
+async fn wait(sync: &Sync, what: &str, condition: impl Fn(&Snapshot) -> bool) {
+    let bound = Instant::now() + BOUND;
+    let mut snapshot = sync.snapshot();
+    while !condition(&snapshot) {
+        let next = dogwoodpitch::transport::time::before(bound, sync.changed(&snapshot)).await;
+        snapshot = next.unwrap_or_else(|| panic!("{} does not see {what}", sync.own().name));
+    }
+}
+
+async fn apply_service(store: &Store, name: &str, port: u16) -> u64 {
+    let deadline = Instant::now() + BOUND;
+    let key = format!("{SERVICE}{name}");
+    let base: Base<Service> = change::read(store, &key, deadline).await.unwrap();
+    let service = Service {
+        id: Id(1),
+        name: name.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+    };
+    let change = Change::new(key, &base, Some(&service));
+    change.write(store, deadline).await.unwrap().revision
+}
+
+fn port_of(snapshot: &Snapshot, service: &str) -> Option<u16> {
+    snapshot.service(service).map(|service| service.address.port())
+}
+
+/// Guards against a node that loses its configuration in an outage, cannot start in one, or misses a change after it.
+#[test]
+fn nodes_keep_and_share_the_configuration_in_an_outage() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        apply_service(&store, "counter", 1).await;
+        let first = spawn("first", 1, address, &[]);
+        wait(&first, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(1)
+        })
+        .await;
+        set_fault(address, "outage", 0);
+        let second = spawn("second", 2, address, &[first.own().peer]);
+        wait(&second, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(1)
+        })
+        .await;
+        wait(&first, "the new node", |snapshot| {
+            snapshot.roster.get("second").is_some()
+        })
+        .await;
+        wait(&second, "the seed", |snapshot| snapshot.roster.get("first").is_some()).await;
+        assert_eq!(port_of(&first.snapshot(), "counter"), Some(1));
+        set_fault(address, "none", 0);
+        let revision = apply_service(&store, "counter", 2).await;
+        for sync in [&first, &second] {
+            wait(sync, "the change", |snapshot| snapshot.revision >= revision).await;
+            assert_eq!(port_of(&sync.snapshot(), "counter"), Some(2));
+        }
+    });
+}
+
+/// Guards against a node that goes back to an older configuration because a store or a peer is behind.
+#[test]
+fn revisions_never_go_back() {
+    let (newer, older) = (start(), start());
+    run(async {
+        let (newer_store, older_store) = (Store::open(vec![newer]), Store::open(vec![older]));
+        apply_service(&older_store, "counter", 9).await;
+        for port in 1..=20 {
+            apply_service(&newer_store, "counter", port).await;
+        }
+        let first = spawn("first", 1, newer, &[]);
+        wait(&first, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(20)
+        })
+        .await;
+        let revision = first.snapshot().revision;
+        let second = spawn("second", 2, older, &[first.own().peer]);
+        wait(&second, "the revision of the seed", |snapshot| {
+            snapshot.revision == revision
+        })
+        .await;
+        let mut stale = first.delta(0, 0);
+        stale.revision = 3;
+        let item = stale.services.get_mut("counter").unwrap();
+        item.revision = 3;
+        item.value = None;
+        let before = read_calls(older);
+        let bound = Instant::now() + BOUND;
+        while read_calls(older) < before + 3 {
+            assert!(Instant::now() < bound, "the node does not read its store");
+            second.apply(stale.clone());
+            assert_eq!(second.snapshot().revision, revision);
+            assert_eq!(port_of(&second.snapshot(), "counter"), Some(20));
+            dogwoodpitch::transport::time::sleep_until(Instant::now() + Duration::from_millis(50)).await;
+        }
+    });
+}
+
+fn read_calls(store: SocketAddr) -> u64 {
+    stand_in::post(store, "/lab/stats", &json!({}))["/v3/kv/txn"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+/// Guards against a node that ignores the digest of a node which it does not know yet, while it has no store.
+#[test]
+fn digests_lead_to_pulls() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        apply_service(&store, "counter", 1).await;
+        let first = spawn("first", 1, address, &[]);
+        wait(&first, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(1)
+        })
+        .await;
+        let second = spawn("second", 2, free_address(), &[]);
+        let snapshot = first.snapshot();
+        let digest = Digest {
+            node: "first".to_owned(),
+            revision: snapshot.revision,
+            nodes: 1,
+            incarnation: 1,
+            peer: first.own().peer,
+        };
+        second.receive_digest(first.own().datagram, &digest);
+        wait(&second, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(1)
+        })
+        .await;
+    });
+}
+
+/// Guards against a paused process that wakes up and takes the name from its replacement.
+#[test]
+fn older_processes_do_not_take_the_name_back() {
+    let address = start();
+    run(async {
+        let entry = async || {
+            let store = Store::open(vec![address]);
+            let reply = store
+                .range(&Range::key(&format!("{NODE}node")), Instant::now() + BOUND)
+                .await;
+            let entry = reply.unwrap().kvs.pop();
+            entry.map(|entry| serde_json::from_slice::<Node>(&entry.value).unwrap())
+        };
+        let _newer = spawn("node", 10, address, &[]);
+        let bound = Instant::now() + BOUND;
+        while entry().await.is_none() {
+            assert!(Instant::now() < bound, "the node is not announced");
+            dogwoodpitch::transport::time::sleep_until(Instant::now() + Duration::from_millis(20)).await;
+        }
+        let before = read_calls(address);
+        let _older = spawn("node", 5, address, &[]);
+        while read_calls(address) < before + 6 {
+            assert!(Instant::now() < bound, "the nodes do not read the store");
+            assert_eq!(entry().await.unwrap().incarnation, 10);
+            dogwoodpitch::transport::time::sleep_until(Instant::now() + Duration::from_millis(20)).await;
+        }
+    });
+}
+
+fn node(name: &str, incarnation: u32) -> Node {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+    Node {
+        name: name.to_owned(),
+        role: Role::Agent,
+        data_centre: "giza".to_owned(),
+        datagram: address,
+        peer: address.into(),
+        http: address.into(),
+        incarnation,
+    }
+}
+
+fn roster(nodes: &[(&str, u32)]) -> Roster {
+    let mut roster = Roster::default();
+    for (name, incarnation) in nodes {
+        roster.insert(node(name, *incarnation));
+    }
+    roster
+}
+
+/// Guards against live nodes that vanish when all leases expire in a long outage, and dead ones that peers bring back.
+#[test]
+fn expired_entries_are_dropped_only_after_the_grace_time() {
+    let mut absence = Absence::default();
+    let start = Instant::now();
+    let known = roster(&[("alive", 1), ("dead", 1)]);
+    assert!(absence.observe(&known, &roster(&[]), start).is_empty());
+    let listed = roster(&[("alive", 1)]);
+    let almost = start + GRACE.saturating_sub(Duration::from_secs(1));
+    assert!(absence.observe(&known, &listed, almost).is_empty());
+    assert_eq!(absence.observe(&known, &listed, start + GRACE), ["dead"]);
+    assert!(!absence.admits(&node("dead", 1)));
+    assert!(absence.admits(&node("dead", 2)) && absence.admits(&node("alive", 1)));
+    absence.observe(&listed, &known, start + GRACE);
+    assert!(absence.admits(&node("dead", 1)), "the store lists the node again");
+}
+
+/// One change: number of the item, and its revision, from which the value follows.
+type Write = (u8, u8);
+
+fn snapshot(writes: &[Write]) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    for &(item, revision) in writes {
+        let revision = u64::from(revision);
+        let labels = label::Set([("revision".to_owned(), revision.to_string())].into());
+        let value = (revision % 3 != 0).then_some(labels);
+        let part = Snapshot {
+            revision,
+            labels: [(format!("node{}", item % 4), Item { revision, value })].into(),
+            roster: roster(&[(["a", "b"][usize::from(item % 2)], u32::from(item))]),
+            ..Snapshot::default()
+        };
+        snapshot.apply(part);
+    }
+    snapshot
+}
+
+quickcheck! {
+    /// Guards against nodes that end with different configurations because pulls and reads arrive in different orders.
+    fn merges_do_not_depend_on_order_and_never_go_back(left: Vec<Write>, right: Vec<Write>) -> TestResult {
+        let (left, right) = (snapshot(&left), snapshot(&right));
+        let (mut one, mut other) = (left.clone(), right.clone());
+        one.apply(right.clone());
+        other.apply(left.clone());
+        let monotone = one.revision == left.revision.max(right.revision)
+            && left.labels.iter().all(|(name, item)| one.labels[name].revision >= item.revision);
+        let unchanged = !one.clone().apply(left) && !one.clone().apply(right);
+        TestResult::from_bool(one == other && monotone && unchanged)
+    }
+}
--- a/crates/dogwoodpitchctl/src/command.rs
+++ b/crates/dogwoodpitchctl/src/command.rs
@@ -25,7 +25,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::{Context, Error, Output};
+use crate::{Context, Error, Output, fleet};
 
 /// Longest time for one command. A write whose outcome is not settled by then is reported as unknown.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -257,7 +257,7 @@
     let snapshot = snapshot(context).await?;
     let mut text = String::new();
     let mut list = Vec::new();
-    for node in snapshot.roster.of_role(Role::Agent) {
+    for (node, answer) in fleet::ask_all(snapshot.roster.of_role(Role::Agent)).await {
         let services: Vec<_> = snapshot
             .live_services()
             .filter(|service| snapshot.selects(&service.name, &node.name))
@@ -265,9 +265,14 @@
             .collect();
         let labels = snapshot.labels.get(&node.name).and_then(|item| item.value.clone());
         let labels = labels.unwrap_or_default();
+        let state = match &answer {
+            Ok(status) if status["draining"] == true => "draining",
+            Ok(_) => "serving",
+            Err(_) => "unreachable",
+        };
         let _ = writeln!(
             text,
-            "{} data_centre={} datagram={} services={} {}",
+            "{} state={state} data_centre={} datagram={} services={} {}",
             node.name,
             node.data_centre,
             node.datagram,
@@ -275,8 +280,8 @@
             label_text(&labels)
         );
         list.push(json!({
-            "name": node.name, "data_centre": node.data_centre, "datagram": node.datagram, "http": node.http,
-            "incarnation": node.incarnation, "labels": labels, "services": services,
+            "name": node.name, "state": state, "data_centre": node.data_centre, "datagram": node.datagram,
+            "http": node.http, "incarnation": node.incarnation, "labels": labels, "services": services,
         }));
     }
     Ok(Output {
@@ -322,7 +327,8 @@
             base.revision
         ),
     );
-    error.details = json!({ "revision": base.revision, "value": value });
+    let change = base.record.as_ref().map(|record| &record.change);
+    error.details = json!({ "revision": base.revision, "value": value, "change": change });
     Err(error)
 }
 
--- a/crates/dogwoodpitchctl/src/fleet.rs
+++ b/crates/dogwoodpitchctl/src/fleet.rs
@@ -42,18 +42,20 @@
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
 
-async fn ask_all<'a>(nodes: impl Iterator<Item = &'a Node>) -> Vec<(&'a Node, Result<Value, String>)> {
-    stream::iter(nodes)
+/// Asks nodes for their `/status`. The answers are in the order of the nodes' names.
+pub(crate) async fn ask_all<'a>(nodes: impl Iterator<Item = &'a Node>) -> Vec<(&'a Node, Result<Value, String>)> {
+    let mut answers: Vec<_> = stream::iter(nodes)
         .map(|node| async move { (node, ask(node).await) })
         .buffer_unordered(CONCURRENCY)
         .collect()
-        .await
+        .await;
+    answers.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+    answers
 }
 
 pub(crate) async fn status(context: &Context) -> Result<Output, Error> {
     let snapshot = command::snapshot(context).await?;
-    let mut answers = ask_all(snapshot.roster.iter()).await;
-    answers.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+    let answers = ask_all(snapshot.roster.iter()).await;
     let mut text = format!("store revision={}\n", snapshot.revision);
     let mut list = Vec::new();
     for (node, answer) in answers {
--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -27,7 +27,7 @@
   label list [NODE]                      lists labels
   selector set SERVICE TEXT              sets the selector of a service; an empty text matches nothing
   selector show SERVICE                  shows the selector of a service
-  agents                                 lists the announced agents with their labels and services
+  agents                                 lists the announced agents with state, labels and services
   status                                 asks all announced nodes for their state
   wait --revision N [--timeout-s S]      waits until all reachable nodes use revision N or a later one (default 30 s);
                                          a node that does not answer twice in a row counts as unreachable and is listed
@@ -93,27 +93,17 @@
 
 impl From<Failure> for Error {
     fn from(failure: Failure) -> Self {
-        // The display text starts with the code, which `print` adds itself.
-        let text = failure.to_string();
-        let text = text.split_once(": ").map_or(text.clone(), |(_, rest)| rest.to_owned());
-        match &failure {
-            Failure::Conflict { current } => {
-                let record = current.record.as_ref();
-                let details = json!({
-                    "revision": current.revision,
-                    "value": record.and_then(|record| record.value.clone()),
-                    "change": record.map(|record| record.change.clone()),
-                });
-                let value = &details["value"];
-                Self {
-                    text: format!("{text}: revision {} has the value {value}", current.revision),
-                    details,
-                    code: Some(Code::CONFLICT),
-                }
-            }
-            Failure::Contention => Self::new(Code::CONFLICT, text),
-            Failure::Store { source } => Self::new(source.code(), text),
-            Failure::Unknown { .. } => Self::new(Code::WRITE_UNKNOWN, text),
+        let error = Self::new(failure.code(), failure.to_string());
+        let Failure::Conflict { current } = failure else {
+            return error;
+        };
+        let (value, change) = current.record.map_or((Value::Null, None), |record| {
+            (record.value.unwrap_or_default(), Some(record.change))
+        });
+        Self {
+            text: format!("{}: revision {} has the value {value}", error.text, current.revision),
+            details: json!({ "revision": current.revision, "value": value, "change": change }),
+            ..error
         }
     }
 }
