Add the balancer role and its daemon

Packets with a connection ID that opens go to the agent it names if its service equals the one at the destination address; first Initials go to a live agent in turn, the own data centre first; everything else is dropped and counted by reason. Liveness rules and routes are in the state layer. The fabric makes its address known by PROXY protocol LOCAL datagrams, so that a balancer which just started can return packets.

--- a/crates/dogwoodpitch/src/balancer/mod.rs
+++ b/crates/dogwoodpitch/src/balancer/mod.rs
@@ -1,11 +1,142 @@
 //! Balancer: forwards packets between the fabric and the agents without state per flow.
 
-use std::io;
+pub mod forward;
 
-use crate::protocol::settings;
+use std::{
+    cell::Cell,
+    fmt::Display,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use self::forward::Forwarder;
+use crate::{
+    coordination::{
+        config::Sync,
+        peer,
+        status::{self, Draining},
+    },
+    protocol::{peer::Digest, settings},
+    state::{liveness::CHECK_INTERVAL, roster::Role, route::Table},
+    transport::{
+        metric::Recorder,
+        signal::Termination,
+        time,
+        udp::{Port, Socket},
+    },
+};
+
+/// Time without packets after which a stopping balancer exits. The fabric looks at `/health` several times in it.
+const QUIET: Duration = Duration::from_secs(1);
 
 /// Runs a balancer until SIGTERM and the end of its graceful stop.
 pub async fn run(settings: settings::Balancer) -> io::Result<()> {
-    let _ = settings;
+    let node = &settings.node;
+    let recorder = Recorder::open();
+    let termination = Termination::open()?;
+    let incarnation = time::incarnation();
+    let port = Port::bind(node.datagram, node.keys.frame()).map_err(context("node.datagram", node.datagram))?;
+    let ingress = Socket::bind(settings.ingress).map_err(context("ingress", settings.ingress))?;
+    let sync = Sync::spawn(node, Role::Balancer, incarnation, port.clone());
+    let forwarder = Rc::new(Forwarder::new(ingress, port.clone(), node.keys.codec()));
+    let draining = Draining::default();
+
+    let extra = {
+        let (forwarder, port) = (Rc::clone(&forwarder), port.clone());
+        move || {
+            serde_json::json!({
+                "suspected_agents": forwarder.suspected(),
+                "control_bytes": port.control_bytes(),
+            })
+        }
+    };
+    status::serve(&sync, recorder, Rc::clone(&draining), extra).map_err(context("node.http", node.http))?;
+    peer::listen(&sync, node.keys.cluster.0, |_link, _message| async { None })
+        .map_err(context("node.peer", node.peer))?;
+
+    let failed = Rc::new(Cell::new(None));
+    monoio::spawn(follow_configuration(sync.clone(), Rc::clone(&forwarder)));
+    monoio::spawn(watch_agents(Rc::clone(&forwarder)));
+    monoio::spawn(forward_ingress(Rc::clone(&forwarder), Rc::clone(&failed)));
+    monoio::spawn(forward_frames(sync.clone(), Rc::clone(&forwarder), Rc::clone(&failed)));
+    ::log::info!(
+        event = "balancer.started", ingress:% = settings.ingress, datagram:% = node.datagram, incarnation;
+        "balancer started"
+    );
+
+    while !termination.is_requested() {
+        if let Some(error) = failed.take() {
+            return Err(error);
+        }
+        monoio::time::sleep(CHECK_INTERVAL).await;
+    }
+    draining.set(true);
+    forwarder.drain();
+    let deadline = Instant::now() + Duration::from_millis(node.stop_timeout_ms.into());
+    ::log::info!(event = "balancer.draining"; "balancer stops accepting work and forwards until traffic ends");
+    // Packets in the time just after the signal say nothing: the fabric has not yet looked at `/health`.
+    let earliest = Instant::now() + QUIET;
+    loop {
+        let quiet_at = (forwarder.last_packet() + QUIET).max(earliest);
+        let now = Instant::now();
+        if now >= quiet_at || now >= deadline {
+            break;
+        }
+        time::sleep_until(quiet_at.min(deadline)).await;
+    }
+    ::log::info!(event = "balancer.stopped"; "balancer stopped");
     Ok(())
 }
+
+fn context<A: Display>(field: &'static str, address: A) -> impl Fn(io::Error) -> io::Error {
+    move |error| io::Error::new(error.kind(), format!("field `{field}`: bind {address}: {error}"))
+}
+
+async fn forward_ingress(forwarder: Rc<Forwarder>, failed: Rc<Cell<Option<io::Error>>>) {
+    loop {
+        if let Err(error) = forwarder.forward_ingress().await {
+            failed.set(Some(error));
+            return;
+        }
+    }
+}
+
+async fn forward_frames(sync: Sync, forwarder: Rc<Forwarder>, failed: Rc<Cell<Option<io::Error>>>) {
+    loop {
+        let batch = forwarder.forward_frames(|from, payload| match ciborium::from_reader::<Digest, _>(payload) {
+            Ok(digest) => sync.receive_digest(from, &digest),
+            Err(error) => {
+                ::log::warn!(event = "digest.malformed", from:% = from, error:% = error; "digest does not parse");
+            }
+        });
+        if let Err(error) = batch.await {
+            failed.set(Some(error));
+            return;
+        }
+    }
+}
+
+async fn follow_configuration(sync: Sync, forwarder: Rc<Forwarder>) {
+    let data_centre = sync.own().data_centre.clone();
+    let mut snapshot = sync.snapshot();
+    loop {
+        let table = Table::new(&snapshot, &data_centre, rand::random::<u16>().into());
+        ::log::info!(event = "route.changed", revision = table.revision; "routes of new flows replaced");
+        let agents = snapshot.roster.of_role(Role::Agent);
+        forwarder.set_table(table, agents.map(|node| (node.datagram, node.incarnation)));
+        snapshot = sync.changed(&snapshot).await;
+    }
+}
+
+async fn watch_agents(forwarder: Rc<Forwarder>) {
+    loop {
+        time::sleep_until(Instant::now() + CHECK_INTERVAL).await;
+        for suspicion in forwarder.check_agents(Instant::now()).suspicions {
+            ::log::warn!(
+                event = "agent.suspected", agent:% = suspicion.agent, incarnation = suspicion.incarnation;
+                "agent is silent; new flows go to others"
+            );
+        }
+    }
+}
--- a/crates/dogwoodpitch/src/protocol/proxy.rs
+++ b/crates/dogwoodpitch/src/protocol/proxy.rs
@@ -8,6 +8,26 @@
 const SIGNATURE: [u8; 12] = *b"\r\n\r\n\0\r\nQUIT\n";
 /// Version 2, command PROXY.
 const VERSION_COMMAND: u8 = 0x21;
+/// Version 2, command LOCAL: the sender checks the receiver, and no packet follows.
+const VERSION_LOCAL: u8 = 0x20;
+/// Header of a datagram that carries no packet, by which a fabric makes its own address known.
+pub const LOCAL: [u8; 16] = local();
+
+const fn local() -> [u8; 16] {
+    let mut bytes = [0; 16];
+    let mut at = 0;
+    while at < SIGNATURE.len() {
+        bytes[at] = SIGNATURE[at];
+        at += 1;
+    }
+    bytes[12] = VERSION_LOCAL;
+    bytes
+}
+
+/// Whether a datagram carries no packet, only the sign of life of a fabric.
+pub fn is_local(datagram: &[u8]) -> bool {
+    datagram.get(..13).is_some_and(|head| head == &LOCAL[..13])
+}
 /// `AF_INET`, DGRAM.
 const FAMILY: u8 = 0x12;
 const ADDRESS_LEN: [u8; 2] = [0, 12];
--- a/crates/dogwoodpitch/src/transport/udp.rs
+++ b/crates/dogwoodpitch/src/transport/udp.rs
@@ -193,27 +193,27 @@
             [io::IoSlice::new(bytes)]
         });
         let addresses: [_; BATCH] = array::from_fn(|index| datagrams.get(index).map(|(_, address)| *address));
-        let mut sent = 0;
-        while sent < count {
+        let mut done = 0;
+        while done < count {
             let result = socket::sendmmsg(
                 self.io.as_raw_fd(),
                 headers,
-                &slices[sent..count],
-                &addresses[sent..count],
+                &slices[done..count],
+                &addresses[done..count],
                 [],
                 MsgFlags::MSG_DONTWAIT,
             );
             match result {
-                Ok(results) => sent += results.count().max(1),
+                Ok(results) => done += results.count().max(1),
                 Err(Errno::EINTR) => {}
                 Err(Errno::EAGAIN) => {
-                    self.send_dropped.increment((count - sent) as u64);
+                    self.send_dropped.increment((count - done) as u64);
                     break;
                 }
                 // The error belongs to the first datagram, or is an ICMP error of an earlier one.
                 Err(_) => {
                     self.send_dropped.increment(1);
-                    sent += 1;
+                    done += 1;
                 }
             }
         }
