--- a/crates/dogwoodpitch/src/coordination/admission.rs
+++ b/crates/dogwoodpitch/src/coordination/admission.rs
@@ -1,71 +1,337 @@
 //! Admission of work to the slots and connections of the backend server, on the runtime.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    cell::{Cell, RefCell},
+    fmt,
+    future::poll_fn,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::{Duration, Instant},
+};
+
+use slotmap::SecondaryMap;
 
 use crate::{
     protocol::{
-        request::{Head, Reply},
+        code::Code,
+        request::{Head, Kind, Reply},
         settings::Policy,
     },
-    state::{load::Load, service::Id},
+    state::{
+        admission::{Changes, Order, Reason, Refusal, Scheduler, Ticket, Work},
+        estimate::Key,
+        load::Load,
+        service::Id,
+    },
+    transport::time,
 };
 
+/// Time over which a cold backend server takes a growing share of new flows.
+const RAMP: Duration = Duration::from_secs(10);
+/// Share of new flows that a backend server takes at its start, in percent, so that the ramp has traffic to warm it.
+const RAMP_START_PERCENT: u8 = 10;
+
 /// Gate in front of a backend server.
 #[derive(Debug, Clone)]
 pub struct Gate(Rc<Inner>);
 
 #[derive(Debug)]
 struct Inner {
-    slots: u16,
+    scheduler: RefCell<Scheduler>,
+    waiters: RefCell<SecondaryMap<Ticket, Waiter>>,
+    opened: Instant,
+    incarnation: u32,
+    connection_limit: u32,
+    connections: Cell<u32>,
+    feeds: Cell<u32>,
+    sequence: Cell<u32>,
 }
 
-/// A slot that is held until this value is dropped.
 #[derive(Debug)]
+enum Waiter {
+    Waiting(Option<Waker>),
+    Started,
+    Refused(Refusal),
+}
+
+/// A slot that is held until this value is dropped.
 pub struct Permit {
-    _gate: Gate,
+    gate: Gate,
+    hold: Hold,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Hold {
+    Slot(Ticket),
+    /// A feed takes a connection and no slot.
+    Feed,
+    Nothing,
+}
+
+/// Removes work from the queue when its future is dropped.
+struct Place<'a> {
+    gate: &'a Gate,
+    ticket: Option<Ticket>,
+}
+
+impl fmt::Debug for Permit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Permit")
+            .field("hold", &self.hold)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Gate {
     /// Opens a gate with the limits of the backend server.
     pub fn open(slots: u16, connections: u32, incarnation: u32, policy: Policy) -> Self {
-        let _ = (connections, incarnation, policy);
-        Self(Rc::new(Inner { slots }))
+        let order = match policy {
+            Policy::Product => Order::Class,
+            Policy::Random | Policy::RoundRobin | Policy::LeastLoadStale => Order::Arrival,
+        };
+        Self(Rc::new(Inner {
+            scheduler: RefCell::new(Scheduler::new(slots, order)),
+            waiters: RefCell::default(),
+            opened: Instant::now(),
+            incarnation,
+            connection_limit: connections,
+            connections: Cell::default(),
+            feeds: Cell::default(),
+            sequence: Cell::default(),
+        }))
     }
 
     /// Takes a slot if one is free for this work now; never waits.
     pub fn try_acquire(&self, service: Id, caller: &str, head: &Head, deadline: Instant) -> Option<Permit> {
-        let _ = (service, caller, head, deadline);
-        Some(Permit { _gate: self.clone() })
+        if head.kind == Kind::Feed {
+            return self.open_feed().ok();
+        }
+        self.advance();
+        let work = work(service, caller, head, deadline);
+        let ticket = self.0.scheduler.borrow_mut().try_start(work, Instant::now())?;
+        Some(self.permit(ticket))
     }
 
     /// Waits for a slot, or gives the refusal for the caller. Dropping the future cancels the wait.
     pub async fn acquire(&self, service: Id, caller: &str, head: &Head, deadline: Instant) -> Result<Permit, Reply> {
-        let _ = (service, caller, head, deadline);
-        Ok(Permit { _gate: self.clone() })
+        let permit = if head.kind == Kind::Feed {
+            self.open_feed()
+        } else {
+            self.wait(work(service, caller, head, deadline)).await
+        };
+        permit.map_err(|refusal| {
+            let reply = reply(refusal);
+            metrics::counter!("dogwoodpitch_admission_refused", "code" => reply.code.to_string()).increment(1);
+            log::info!(
+                event = "admission.refused", request:% = head.id, service:% = service, caller = caller,
+                code:% = reply.code, reason = reply.detail.as_str(), retry_after_ms = reply.retry_after_ms;
+                "request not run"
+            );
+            reply
+        })
     }
 
     /// Sets whether new work is refused.
     pub fn set_draining(&self, draining: bool) {
-        let _ = draining;
+        let changes = self.0.scheduler.borrow_mut().set_draining(draining);
+        self.notify(changes);
     }
 
     /// Sets the number of open flows, for load reports and the connection limit.
     pub fn set_connections(&self, connections: u32) {
-        let _ = connections;
+        self.0.connections.set(connections);
+    }
+
+    /// Whether work is expected to occupy its slot for long.
+    pub fn is_long(&self, service: Id, head: &Head) -> bool {
+        let key = key(service, head);
+        head.kind != Kind::Feed && self.0.scheduler.borrow().is_long(&key, head.length)
     }
 
     /// Load of this agent with the next sequence number.
     pub fn load(&self) -> Load {
+        self.0.sequence.set(self.0.sequence.get().wrapping_add(1));
+        self.current()
+    }
+
+    /// Load of this agent with the sequence number of the last report.
+    pub fn current(&self) -> Load {
+        let scheduler = self.0.scheduler.borrow();
+        let now = Instant::now();
         Load {
-            slots: self.0.slots,
-            ..Load::default()
+            incarnation: self.0.incarnation,
+            sequence: self.0.sequence.get(),
+            slots: scheduler.slots(),
+            busy: scheduler.busy(),
+            long: scheduler.busy_long(now),
+            queued: u16::try_from(scheduler.queued()).unwrap_or(u16::MAX),
+            connection_limit: self.0.connection_limit,
+            connections: self.0.connections.get(),
+            draining: scheduler.is_draining(),
+            warm_percent: warm_percent(now.saturating_duration_since(self.0.opened)),
+        }
+    }
+
+    async fn wait(&self, work: Work) -> Result<Permit, Refusal> {
+        let ticket = self.0.scheduler.borrow_mut().offer(work, Instant::now())?;
+        self.0.waiters.borrow_mut().insert(ticket, Waiter::Waiting(None));
+        let mut place = Place {
+            gate: self,
+            ticket: Some(ticket),
+        };
+        self.advance();
+        let latest_start = self.0.scheduler.borrow().latest_start(ticket);
+        let started = poll_fn(|cx| self.poll_waiter(ticket, cx.waker()));
+        if let Some(latest_start) = latest_start {
+            time::before(latest_start, started).await;
+        }
+        place.ticket = None;
+        let waiter = self.0.waiters.borrow_mut().remove(ticket);
+        let refusal = match waiter {
+            Some(Waiter::Waiting(_)) => self.0.scheduler.borrow_mut().expire(ticket),
+            Some(Waiter::Refused(refusal)) => Some(refusal),
+            Some(Waiter::Started) | None => None,
+        };
+        refusal.map_or_else(|| Ok(self.permit(ticket)), Err)
+    }
+
+    fn poll_waiter(&self, ticket: Ticket, waker: &Waker) -> Poll<()> {
+        let mut waiters = self.0.waiters.borrow_mut();
+        let Some(Waiter::Waiting(known)) = waiters.get_mut(ticket) else {
+            return Poll::Ready(());
+        };
+        *known = Some(waker.clone());
+        Poll::Pending
+    }
+
+    fn open_feed(&self) -> Result<Permit, Refusal> {
+        let scheduler = self.0.scheduler.borrow();
+        if scheduler.is_draining() {
+            return Err(Refusal {
+                reason: Reason::Draining,
+                retry_after: Duration::ZERO,
+            });
+        }
+        // Each slot needs a connection of its own.
+        let limit = self.0.connection_limit.saturating_sub(u32::from(scheduler.slots()));
+        if self.0.feeds.get() >= limit.max(1) {
+            return Err(Refusal {
+                reason: Reason::Overloaded,
+                retry_after: Duration::from_secs(1),
+            });
+        }
+        self.0.feeds.set(self.0.feeds.get() + 1);
+        Ok(Permit {
+            gate: self.clone(),
+            hold: Hold::Feed,
+        })
+    }
+
+    fn permit(&self, ticket: Ticket) -> Permit {
+        Permit {
+            gate: self.clone(),
+            hold: Hold::Slot(ticket),
+        }
+    }
+
+    fn advance(&self) {
+        let changes = self.0.scheduler.borrow_mut().advance(Instant::now());
+        self.notify(changes);
+    }
+
+    fn notify(&self, changes: Changes) {
+        let mut waiters = self.0.waiters.borrow_mut();
+        let started = changes.started.into_iter().map(|ticket| (ticket, Waiter::Started));
+        let refused = changes.refused.into_iter();
+        let refused = refused.map(|(ticket, refusal)| (ticket, Waiter::Refused(refusal)));
+        for (ticket, state) in started.chain(refused) {
+            if let Some(waiter) = waiters.get_mut(ticket)
+                && let Waiter::Waiting(Some(waker)) = std::mem::replace(waiter, state)
+            {
+                waker.wake();
+            }
         }
     }
 }
 
 impl Permit {
     /// Records the outcome, so that classes of work are learnt and fast errors do not look like spare capacity.
-    pub fn done(self, bytes: u64, error: bool) {
-        let _ = (bytes, error);
+    pub fn done(mut self, bytes: u64, error: bool) {
+        let Hold::Slot(ticket) = self.hold else { return };
+        self.hold = Hold::Nothing;
+        let held = self
+            .gate
+            .0
+            .scheduler
+            .borrow_mut()
+            .finish(ticket, Instant::now(), bytes, error);
+        let Some(until) = held else {
+            self.gate.advance();
+            return;
+        };
+        let gate = self.gate.clone();
+        monoio::spawn(async move {
+            time::sleep_until(until).await;
+            gate.advance();
+        });
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        match self.hold {
+            Hold::Slot(ticket) => {
+                if self.gate.0.scheduler.borrow_mut().cancel(ticket, Instant::now()) {
+                    self.gate.advance();
+                }
+            }
+            Hold::Feed => self.gate.0.feeds.set(self.gate.0.feeds.get().saturating_sub(1)),
+            Hold::Nothing => {}
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else { return };
+        self.gate.0.waiters.borrow_mut().remove(ticket);
+        if self.gate.0.scheduler.borrow_mut().cancel(ticket, Instant::now()) {
+            self.gate.advance();
+        }
+    }
+}
+
+fn key(service: Id, head: &Head) -> Key {
+    Key {
+        service,
+        upload: head.kind == Kind::Upload,
+        class: head.class.clone(),
+    }
+}
+
+fn work(service: Id, caller: &str, head: &Head, deadline: Instant) -> Work {
+    Work {
+        key: key(service, head),
+        caller: caller.to_owned(),
+        length: head.length,
+        deadline,
     }
 }
+
+fn reply(refusal: Refusal) -> Reply {
+    let (code, detail) = match refusal.reason {
+        Reason::Overloaded => (Code::OVERLOADED, "no slot becomes free in time"),
+        Reason::Draining => (Code::DRAINING, "the backend server is draining"),
+        Reason::Deadline => (Code::DEADLINE, "the deadline has passed"),
+    };
+    Reply {
+        code,
+        retry_after_ms: u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX),
+        detail: detail.to_owned(),
+    }
+}
+
+fn warm_percent(age: Duration) -> u8 {
+    let percent = age.as_millis() * 100 / RAMP.as_millis();
+    u8::try_from(percent).unwrap_or(100).clamp(RAMP_START_PERCENT, 100)
+}
--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -1,6 +1,13 @@
 //! Load exchange among the agents of a service, choice of agents, and hand-over of requests.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 
@@ -8,14 +15,35 @@
     coordination::{admission::Gate, config::Sync},
     protocol::{
         cid::Target,
-        peer::Report,
+        code::Code,
+        datagram::{Header, Kind},
+        peer::{Message, Report},
         request::{Head, Reply},
         settings::Policy,
     },
-    state::{roster::Node, service::Id},
-    transport::{udp::Port, websocket::Link},
+    state::{
+        config::Snapshot,
+        load::Load,
+        placement::{self, Candidate, Choice, Recent, Table},
+        roster::{Node, Role},
+        service::Id,
+    },
+    transport::{time, udp::Port, websocket::Link},
 };
 
+/// Shortest time between two reports, so that all reports of an agent stay within 2 KB/s.
+const CHANGED_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two reports; half of the time that a report is valid.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// How long after a freeze reports are ignored: the socket still holds frames from before it.
+const IGNORE_AFTER_FREEZE: Duration = Duration::from_millis(100);
+/// Longest time for a connection and the answer to an offer.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Links to one peer, idle or in use. A peer admits no more requests than it has slots.
+const MAX_LINKS: usize = 32;
+/// How long an idle link is kept.
+const MAX_IDLE: Duration = Duration::from_secs(30);
+
 /// Running load exchange of one agent.
 #[derive(Debug, Clone)]
 pub struct Exchange(Rc<Inner>);
@@ -23,7 +51,41 @@
 #[derive(Debug)]
 struct Inner {
     sync: Sync,
-    next: Cell<usize>,
+    gate: Gate,
+    port: Port,
+    key: [u8; 32],
+    policy: Policy,
+    turn: Cell<usize>,
+    table: RefCell<Table>,
+    own_flows: RefCell<Recent>,
+    reported: Cell<Load>,
+    view: RefCell<Rc<View>>,
+    pools: RefCell<HashMap<SocketAddr, Pool>>,
+    last_tick: Cell<Instant>,
+    ignore_until: Cell<Option<Instant>>,
+}
+
+/// Agents that matter to this one in one configuration.
+#[derive(Debug)]
+struct View {
+    snapshot: Rc<Snapshot>,
+    /// Agents that share a service with this one, without it.
+    peers: Vec<Node>,
+    /// Agents of the services that have been asked for.
+    services: RefCell<HashMap<Id, Rc<Vec<Node>>>>,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    idle: Vec<(Link, Instant)>,
+    in_use: usize,
+}
+
+/// Place of one link in the pool, given back on drop.
+#[derive(Debug)]
+struct Lease {
+    exchange: Rc<Inner>,
+    peer: SocketAddr,
 }
 
 /// A request that a peer has admitted.
@@ -32,33 +94,146 @@
     /// Name of the peer.
     pub peer: String,
     link: Link,
+    /// Whether the answer has been read to its end, so that the link may carry another request.
+    ended: bool,
+    lease: Lease,
 }
 
 impl Exchange {
     /// Starts to exchange load with the agents of the same services.
     pub fn spawn(sync: &Sync, gate: Gate, port: Port, key: [u8; 32], policy: Policy) -> Self {
-        let _ = (gate, port, key, policy);
-        Self(Rc::new(Inner {
+        let exchange = Self(Rc::new(Inner {
             sync: sync.clone(),
-            next: Cell::new(0),
-        }))
+            reported: Cell::new(gate.current()),
+            gate,
+            port,
+            key,
+            policy,
+            turn: Cell::default(),
+            table: RefCell::default(),
+            own_flows: RefCell::default(),
+            view: RefCell::new(Rc::new(View::new(&sync.snapshot(), &sync.own().name))),
+            pools: RefCell::default(),
+            last_tick: Cell::new(Instant::now()),
+            ignore_until: Cell::default(),
+        }));
+        let weak = Rc::downgrade(&exchange.0);
+        monoio::spawn(async move {
+            let mut last_all = None;
+            while let Some(inner) = weak.upgrade() {
+                let exchange = Self(inner);
+                let now = Instant::now();
+                exchange.check_freeze(now);
+                exchange.0.last_tick.set(now);
+                exchange.tick(now, &mut last_all);
+                drop(exchange);
+                time::sleep_until(now + CHANGED_INTERVAL).await;
+            }
+        });
+        exchange
     }
 
     /// Handles a `Load` frame.
     pub fn receive_load(&self, report: &Report) {
-        let _ = report;
+        let now = Instant::now();
+        self.check_freeze(now);
+        if report.node == self.0.sync.own().name || self.0.ignore_until.get().is_some_and(|until| now < until) {
+            return;
+        }
+        self.0.table.borrow_mut().receive(&report.node, report.load, now);
     }
 
-    /// Chooses the agent of a new flow; it may be this one. `None` if no agent of the service is known to be alive.
+    /// Forgets the loads of peers and closes idle links. For an agent that was frozen: it cannot tell how old they are.
+    pub fn discard(&self) {
+        let now = Instant::now();
+        self.0.table.borrow_mut().discard();
+        self.0
+            .pools
+            .borrow_mut()
+            .values_mut()
+            .for_each(|pool| pool.idle.clear());
+        self.0.ignore_until.set(Some(now + IGNORE_AFTER_FREEZE));
+        self.0.last_tick.set(now);
+    }
+
+    /// Whether a report of the agent has arrived recently. The roster is no proof of that.
+    pub fn is_alive(&self, node: &Node) -> bool {
+        let table = self.0.table.borrow();
+        table.load(&node.name, node.incarnation, Instant::now()).is_some()
+    }
+
+    /// Chooses the agent of a new flow; it may be this one. `None` if no agent of the service is known to be alive with
+    /// room for a connection.
     pub fn place_flow(&self, service: Id) -> Option<Target> {
-        let _ = (service, &self.0.sync, &self.0.next);
-        None
+        let now = Instant::now();
+        self.check_freeze(now);
+        let view = self.view();
+        let own = self.0.sync.own();
+        let agents = view.agents(service);
+        let mut nodes = Vec::new();
+        let mut candidates = Vec::new();
+        for node in agents.iter() {
+            let candidate = if node.name == own.name {
+                Some(self.own_candidate(now))
+            } else {
+                let near = node.data_centre == own.data_centre;
+                let table = self.0.table.borrow();
+                table.for_flow(&node.name, node.incarnation, near, now)
+            };
+            if let Some(candidate) = candidate {
+                nodes.push(node);
+                candidates.push(candidate);
+            }
+        }
+        let choice = self.choose_flow(&candidates);
+        let revision = view.snapshot.revision;
+        let Some(Choice { index, reason }) = choice else {
+            log::warn!(
+                event = "flow.not_placed", service:% = service, alive = nodes.len(), revision = revision;
+                "no agent for a new flow"
+            );
+            return None;
+        };
+        let node = nodes[index];
+        let load = &candidates[index].load;
+        log::info!(
+            event = "flow.placed", service:% = service, agent = node.name.as_str(), reason = reason,
+            connections = load.connections, recent = candidates[index].recent, alive = nodes.len(),
+            revision = revision;
+            "new flow placed"
+        );
+        if node.name == own.name {
+            self.0.own_flows.borrow_mut().add(now);
+        } else {
+            self.0.table.borrow_mut().placed_flow(&node.name, now);
+        }
+        Some(Target {
+            service,
+            agent: node.datagram,
+            incarnation: load.incarnation,
+        })
     }
 
     /// Chooses a peer that is likely to admit a request now.
     pub fn place_request(&self, service: Id, head: &Head) -> Option<Node> {
-        let _ = (service, head);
-        None
+        let now = Instant::now();
+        self.check_freeze(now);
+        let view = self.view();
+        let (nodes, candidates) = self.request_candidates(&view, service, now);
+        let own = self.0.gate.current();
+        let rng = &mut rand::rng();
+        let choice = match self.0.policy {
+            Policy::Product => placement::request(&own, &candidates, self.0.gate.is_long(service, head), rng),
+            Policy::Random | Policy::RoundRobin => None,
+            Policy::LeastLoadStale => {
+                let work = |load: &Load| u32::from(load.busy) + u32::from(load.queued);
+                let own = work(&self.0.reported.get());
+                let choice = placement::least(&candidates, work, rng);
+                choice.filter(|choice| work(&candidates[choice.index].load) < own)
+            }
+        };
+        let Choice { index, reason } = choice?;
+        Some(self.log_request(&view, service, head, &nodes[index], reason, now))
     }
 
     /// Offers a request to a peer. An error is always `not run`: nothing but the head was sent, and the peer runs nothing
@@ -71,35 +246,286 @@
         head: &Head,
         deadline: Instant,
     ) -> Result<Remote, Reply> {
-        let _ = (peer, service, caller, head, deadline);
-        Err(Reply {
-            code: crate::protocol::code::Code::NO_BACKEND,
-            retry_after_ms: 0,
-            detail: "no peer".to_owned(),
-        })
+        let limit = deadline.min(Instant::now() + OFFER_TIMEOUT);
+        let view = self.view();
+        let node = view.peers.iter().find(|node| node.peer == peer);
+        let name = node.map_or_else(|| peer.to_string(), |node| node.name.clone());
+        let offered = self.offer_link(peer, service, caller, head, deadline, limit).await;
+        let (link, lease, message) = match offered {
+            Ok(offered) => offered,
+            Err(error) => {
+                self.0.table.borrow_mut().failed(&name, Instant::now());
+                log::info!(
+                    event = "offer.failed", request:% = head.id, peer = name.as_str(), error:% = error;
+                    "offered request not taken"
+                );
+                return Err(not_run(Code::NO_BACKEND, 0, format!("offer to {name}: {error}")));
+            }
+        };
+        match message {
+            Message::Admitted => Ok(Remote {
+                peer: name,
+                link,
+                ended: false,
+                lease,
+            }),
+            Message::Refused {
+                code,
+                retry_after_ms,
+                load,
+            } => {
+                self.0.table.borrow_mut().refused(&name, load, Instant::now());
+                lease.give_back(link);
+                log::info!(
+                    event = "offer.refused", request:% = head.id, peer = name.as_str(), code:% = code,
+                    busy = load.busy, queued = load.queued;
+                    "offered request refused"
+                );
+                let code = if code.is_not_run() { code } else { Code::REFUSED };
+                Err(not_run(code, retry_after_ms, format!("refused by {name}")))
+            }
+            _ => {
+                self.0.table.borrow_mut().failed(&name, Instant::now());
+                Err(not_run(
+                    Code::NO_BACKEND,
+                    0,
+                    format!("offer to {name}: unexpected message"),
+                ))
+            }
+        }
     }
 
     /// Returns the link of a finished request to the pool.
     pub fn finish(&self, remote: Remote) {
-        drop(remote);
+        if remote.ended {
+            remote.lease.give_back(remote.link);
+        }
+    }
+
+    async fn offer_link(
+        &self,
+        peer: SocketAddr,
+        service: Id,
+        caller: &str,
+        head: &Head,
+        deadline: Instant,
+        limit: Instant,
+    ) -> io::Result<(Link, Lease, Message)> {
+        let lease = self.lease(peer)?;
+        let mut pooled = lease.take_idle();
+        loop {
+            let from_pool = pooled.is_some();
+            let mut link = match pooled.take() {
+                Some(link) => link,
+                None => Link::connect(peer, &self.0.key, &self.0.sync.own().name, limit).await?,
+            };
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let run = Message::Run {
+                service,
+                caller: caller.to_owned(),
+                head: Head {
+                    timeout_ms: u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX),
+                    ..head.clone()
+                },
+            };
+            let exchange = async {
+                link.send(&run).await?;
+                link.recv::<Message>().await
+            };
+            match time::before(limit, exchange).await {
+                None => return Err(io::ErrorKind::TimedOut.into()),
+                Some(Ok(message)) => return Ok((link, lease, message)),
+                // The peer may have closed an idle link, or is a new incarnation. It runs nothing without a body, and
+                // the end of the link has cancelled the offer.
+                Some(Err(_)) if from_pool => {}
+                Some(Err(error)) => return Err(error),
+            }
+        }
+    }
+
+    fn lease(&self, peer: SocketAddr) -> io::Result<Lease> {
+        let mut pools = self.0.pools.borrow_mut();
+        let pool = pools.entry(peer).or_default();
+        if pool.in_use >= MAX_LINKS {
+            return Err(io::Error::other("all links are in use"));
+        }
+        pool.in_use += 1;
+        Ok(Lease {
+            exchange: Rc::clone(&self.0),
+            peer,
+        })
+    }
+
+    fn own_candidate(&self, now: Instant) -> Candidate {
+        let mut own_flows = self.0.own_flows.borrow_mut();
+        own_flows.settle_flows(now);
+        Candidate {
+            near: true,
+            load: self.0.gate.current(),
+            recent: own_flows.count(now),
+        }
+    }
+
+    fn choose_flow(&self, candidates: &[Candidate]) -> Option<Choice> {
+        let rng = &mut rand::rng();
+        match self.0.policy {
+            Policy::Product => placement::flow(candidates, rng),
+            Policy::Random => placement::random(candidates, rng),
+            Policy::RoundRobin => {
+                let turn = self.0.turn.get();
+                self.0.turn.set(turn.wrapping_add(1));
+                placement::in_turn(candidates, turn)
+            }
+            Policy::LeastLoadStale => placement::least(candidates, |load| load.connections, rng),
+        }
+    }
+
+    fn request_candidates(&self, view: &View, service: Id, now: Instant) -> (Vec<Node>, Vec<Candidate>) {
+        let own = self.0.sync.own();
+        let table = self.0.table.borrow();
+        let agents = view.agents(service);
+        let candidates = agents.iter().filter(|node| node.name != own.name).filter_map(|node| {
+            let near = node.data_centre == own.data_centre;
+            let candidate = table.for_request(&node.name, node.incarnation, near, now)?;
+            Some((node.clone(), candidate))
+        });
+        candidates.unzip()
+    }
+
+    fn log_request(&self, view: &View, service: Id, head: &Head, node: &Node, reason: &str, now: Instant) -> Node {
+        log::info!(
+            event = "request.placed", request:% = head.id, service:% = service, agent = node.name.as_str(),
+            reason = reason, revision = view.snapshot.revision;
+            "request offered to a peer"
+        );
+        self.0.table.borrow_mut().placed_request(&node.name, now);
+        node.clone()
+    }
+
+    /// Current view, rebuilt when the configuration has changed.
+    fn view(&self) -> Rc<View> {
+        let snapshot = self.0.sync.snapshot();
+        let mut view = self.0.view.borrow_mut();
+        if !Rc::ptr_eq(&view.snapshot, &snapshot) {
+            *view = Rc::new(View::new(&snapshot, &self.0.sync.own().name));
+        }
+        Rc::clone(&view)
+    }
+
+    /// Discards the table if this process has not run for as long as a report is valid.
+    fn check_freeze(&self, now: Instant) {
+        let silence = now.saturating_duration_since(self.0.last_tick.get());
+        if silence > placement::VALID {
+            log::warn!(
+                event = "agent.resumed", silence_ms:? = silence.as_millis();
+                "this process was stopped; loads of peers discarded"
+            );
+            self.discard();
+        }
+    }
+
+    fn tick(&self, now: Instant, last_all: &mut Option<Instant>) {
+        self.0.table.borrow_mut().purge(now);
+        self.0.pools.borrow_mut().retain(|_, pool| {
+            pool.idle
+                .retain(|(_, since)| now.saturating_duration_since(*since) < MAX_IDLE);
+            pool.in_use > 0 || !pool.idle.is_empty()
+        });
+        let due = last_all.is_none_or(|last| now.saturating_duration_since(last) >= INTERVAL);
+        let current = self.0.gate.current();
+        let changed = current != self.0.reported.get() && self.0.policy != Policy::LeastLoadStale;
+        if !due && !changed {
+            return;
+        }
+        if due {
+            *last_all = Some(now);
+        }
+        let report = Report {
+            node: self.0.sync.own().name.clone(),
+            load: self.0.gate.load(),
+        };
+        self.0.reported.set(report.load);
+        let mut payload = Vec::new();
+        if ciborium::into_writer(&report, &mut payload).is_err() {
+            return;
+        }
+        let header = Header::control(Kind::Load);
+        for node in &self.view().peers {
+            // Agents that are not known to be alive get the slow rate only: they must learn of this one to answer.
+            if due || self.is_alive(node) {
+                self.0.port.send(node.datagram, &header, &payload);
+            }
+        }
+        self.0.port.flush();
+    }
+}
+
+impl View {
+    fn new(snapshot: &Rc<Snapshot>, own: &str) -> Self {
+        let services: Vec<&str> = snapshot
+            .live_services()
+            .map(|service| service.name.as_str())
+            .filter(|service| snapshot.selects(service, own))
+            .collect();
+        let shares = |node: &&Node| services.iter().any(|service| snapshot.selects(service, &node.name));
+        let agents = snapshot.roster.of_role(Role::Agent).filter(|node| node.name != own);
+        Self {
+            peers: agents.filter(shares).cloned().collect(),
+            services: RefCell::default(),
+            snapshot: Rc::clone(snapshot),
+        }
+    }
+
+    fn agents(&self, service: Id) -> Rc<Vec<Node>> {
+        let mut services = self.services.borrow_mut();
+        let agents = services.entry(service).or_insert_with(|| {
+            let service = self.snapshot.service_by_id(service);
+            let agents = service.map(|service| self.snapshot.agents(&service.name).cloned().collect());
+            Rc::new(agents.unwrap_or_default())
+        });
+        Rc::clone(agents)
+    }
+}
+
+impl Lease {
+    fn take_idle(&self) -> Option<Link> {
+        let mut pools = self.exchange.pools.borrow_mut();
+        Some(pools.get_mut(&self.peer)?.idle.pop()?.0)
+    }
+
+    fn give_back(self, link: Link) {
+        let mut pools = self.exchange.pools.borrow_mut();
+        if let Some(pool) = pools.get_mut(&self.peer)
+            && pool.idle.len() + pool.in_use <= MAX_LINKS
+        {
+            pool.idle.push((link, Instant::now()));
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(pool) = self.exchange.pools.borrow_mut().get_mut(&self.peer) {
+            pool.in_use = pool.in_use.saturating_sub(1);
+        }
     }
 }
 
 impl Remote {
     /// Sends a part of the body. An error is an unknown outcome.
     pub async fn send_body(&mut self, bytes: Bytes) -> io::Result<()> {
-        self.link.send(&crate::protocol::peer::Message::Body(bytes)).await
+        self.link.send(&Message::Body(bytes)).await
     }
 
     /// Ends the body.
     pub async fn end_body(&mut self) -> io::Result<()> {
-        self.link.send(&crate::protocol::peer::Message::BodyEnd).await
+        self.link.send(&Message::BodyEnd).await
     }
 
     /// Head of the answer. An error is an unknown outcome.
     pub async fn reply(&mut self) -> io::Result<Reply> {
         match self.link.recv().await? {
-            crate::protocol::peer::Message::Reply(reply) => Ok(reply),
+            Message::Reply(reply) => Ok(reply),
             _ => Err(io::ErrorKind::InvalidData.into()),
         }
     }
@@ -107,9 +533,20 @@
     /// Next part of the answer; `None` at its end.
     pub async fn body(&mut self) -> io::Result<Option<Bytes>> {
         match self.link.recv().await? {
-            crate::protocol::peer::Message::Body(bytes) => Ok(Some(bytes)),
-            crate::protocol::peer::Message::End => Ok(None),
+            Message::Body(bytes) => Ok(Some(bytes)),
+            Message::End => {
+                self.ended = true;
+                Ok(None)
+            }
             _ => Err(io::ErrorKind::InvalidData.into()),
         }
     }
 }
+
+fn not_run(code: Code, retry_after_ms: u32, detail: String) -> Reply {
+    Reply {
+        code,
+        retry_after_ms,
+        detail,
+    }
+}
--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -1,9 +1,12 @@
 //! Data model and decisions. No I/O happens in this layer, and time is always passed in.
 
+pub mod admission;
 pub mod budget;
 pub mod config;
+pub mod estimate;
 pub mod label;
 pub mod load;
+pub mod placement;
 pub mod roster;
 pub mod selector;
 pub mod service;
--- /dev/null
+++ b/crates/dogwoodpitch/src/state/placement.rs
@@ -0,0 +1,389 @@
+//! Chooses the agent of a new flow and the peer that takes over a request.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+
+use crate::state::{admission, load::Load};
+
+/// How long a load report proves that an agent is alive.
+pub const VALID: Duration = Duration::from_secs(2);
+/// How long the last report of a silent agent is kept, so that a late copy of an older one is recognized.
+const FORGET: Duration = Duration::from_mins(1);
+/// Agents in the table, to bound memory whatever the frames say.
+const MAX_AGENTS: usize = 4_096;
+/// Own placements on one agent that are remembered.
+const MAX_RECENT: usize = 1_024;
+/// How long a flow takes from its placement to the connection count of its agent: a round trip and the handshake.
+const FLOW_DELAY: Duration = Duration::from_millis(100);
+/// How long an offered request takes to show in the load of its agent.
+const REQUEST_DELAY: Duration = Duration::from_millis(20);
+/// Longest time that an own placement counts if no report follows it.
+const MAX_RECENT_AGE: Duration = Duration::from_secs(1);
+/// How long a peer gets no request after it refused one although it reported free slots.
+const AVOID_REFUSED: Duration = Duration::from_millis(50);
+/// How long a peer gets no request after an offer to it failed.
+const AVOID_FAILED: Duration = Duration::from_secs(1);
+/// The own data centre is preferred until its agents are this much fuller than those of the others.
+const NEAR_FACTOR: f64 = 1.25;
+/// A flow stays in the own data centre only if its agent is at most this much fuller than the mean. The target of 1.10
+/// for the imbalance leaves no room for more.
+const NEAR_IMBALANCE: f64 = 1.05;
+
+/// One agent that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Whether the agent is in the data centre of the one that decides.
+    pub near: bool,
+    /// Last reported load.
+    pub load: Load,
+    /// Own placements that the load does not contain yet.
+    pub recent: u32,
+}
+
+/// Index of the chosen candidate and the reason for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// Index in the list of candidates.
+    pub index: usize,
+    /// Reason.
+    pub reason: &'static str,
+}
+
+/// Loads of peers by node name.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    agents: HashMap<String, Entry>,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    load: Load,
+    heard: Instant,
+    flows: Recent,
+    requests: Recent,
+    avoid_until: Option<Instant>,
+}
+
+/// Times of own placements that no report contains yet.
+#[derive(Debug, Clone, Default)]
+pub struct Recent(VecDeque<Instant>);
+
+impl Recent {
+    /// Adds a placement.
+    pub fn add(&mut self, now: Instant) {
+        if self.0.len() == MAX_RECENT {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+
+    /// Drops placements that a load of the moment `now` contains.
+    pub fn settle(&mut self, now: Instant, delay: Duration) {
+        while self
+            .0
+            .front()
+            .is_some_and(|placed| now.saturating_duration_since(*placed) >= delay)
+        {
+            self.0.pop_front();
+        }
+    }
+
+    /// Drops flows that the agent's own connection count contains.
+    pub fn settle_flows(&mut self, now: Instant) {
+        self.settle(now, FLOW_DELAY);
+    }
+
+    /// Number of placements.
+    pub fn count(&self, now: Instant) -> u32 {
+        let fresh = |placed: &&Instant| now.saturating_duration_since(**placed) < MAX_RECENT_AGE;
+        u32::try_from(self.0.iter().filter(fresh).count()).unwrap_or(u32::MAX)
+    }
+}
+
+impl Table {
+    /// Takes a report. Older reports than the known one are ignored, however late they arrive. Returns whether it was
+    /// taken.
+    pub fn receive(&mut self, node: &str, load: Load, now: Instant) -> bool {
+        if let Some(entry) = self.agents.get_mut(node) {
+            if !load.is_newer(&entry.load) {
+                return false;
+            }
+            if load.incarnation != entry.load.incarnation {
+                *entry = Entry::new(load, now);
+                return true;
+            }
+            entry.load = load;
+            entry.heard = now;
+            entry.flows.settle(now, FLOW_DELAY);
+            entry.requests.settle(now, REQUEST_DELAY);
+            return true;
+        }
+        if self.agents.len() >= MAX_AGENTS {
+            self.purge(now);
+        }
+        if self.agents.len() >= MAX_AGENTS {
+            return false;
+        }
+        self.agents.insert(node.to_owned(), Entry::new(load, now));
+        true
+    }
+
+    /// Takes the load in a refusal, and gives the peer no request for a moment.
+    pub fn refused(&mut self, node: &str, load: Load, now: Instant) {
+        self.receive(node, load, now);
+        self.avoid(node, now + AVOID_REFUSED);
+    }
+
+    /// Gives a peer no request for a while after a failed offer.
+    pub fn failed(&mut self, node: &str, now: Instant) {
+        self.avoid(node, now + AVOID_FAILED);
+    }
+
+    fn avoid(&mut self, node: &str, until: Instant) {
+        if let Some(entry) = self.agents.get_mut(node) {
+            entry.avoid_until = Some(until);
+        }
+    }
+
+    /// Forgets everything. An agent that was frozen cannot tell how old its reports are.
+    pub fn discard(&mut self) {
+        self.agents.clear();
+    }
+
+    /// Removes agents that have been silent for a long time.
+    pub fn purge(&mut self, now: Instant) {
+        self.agents
+            .retain(|_, entry| now.saturating_duration_since(entry.heard) < FORGET);
+    }
+
+    /// Load of an agent that is alive: a report of this or a newer incarnation has arrived within [`VALID`].
+    pub fn load(&self, node: &str, incarnation: u32, now: Instant) -> Option<Load> {
+        Some(self.alive(node, incarnation, now)?.load)
+    }
+
+    /// Candidate for a new flow, if the agent is alive.
+    pub fn for_flow(&self, node: &str, incarnation: u32, near: bool, now: Instant) -> Option<Candidate> {
+        let entry = self.alive(node, incarnation, now)?;
+        Some(Candidate {
+            near,
+            load: entry.load,
+            recent: entry.flows.count(now),
+        })
+    }
+
+    /// Candidate for a request, if the agent is alive and has not just refused one.
+    pub fn for_request(&self, node: &str, incarnation: u32, near: bool, now: Instant) -> Option<Candidate> {
+        let entry = self.alive(node, incarnation, now)?;
+        if entry.avoid_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        Some(Candidate {
+            near,
+            load: entry.load,
+            recent: entry.requests.count(now),
+        })
+    }
+
+    fn alive(&self, node: &str, incarnation: u32, now: Instant) -> Option<&Entry> {
+        let entry = self.agents.get(node)?;
+        let fresh = now.saturating_duration_since(entry.heard) < VALID;
+        (fresh && entry.load.incarnation >= incarnation).then_some(entry)
+    }
+
+    /// Records that this node has placed a flow on an agent.
+    pub fn placed_flow(&mut self, node: &str, now: Instant) {
+        if let Some(entry) = self.agents.get_mut(node) {
+            entry.flows.add(now);
+        }
+    }
+
+    /// Records that this node offers a request to an agent.
+    pub fn placed_request(&mut self, node: &str, now: Instant) {
+        if let Some(entry) = self.agents.get_mut(node) {
+            entry.requests.add(now);
+        }
+    }
+}
+
+impl Entry {
+    fn new(load: Load, heard: Instant) -> Self {
+        Self {
+            load,
+            heard,
+            flows: Recent::default(),
+            requests: Recent::default(),
+            avoid_until: None,
+        }
+    }
+}
+
+impl Candidate {
+    fn connections(&self) -> u32 {
+        self.load.connections.saturating_add(self.recent)
+    }
+
+    /// Share of the connection limit in use.
+    fn fullness(&self) -> f64 {
+        f64::from(self.connections()) / f64::from(self.load.connection_limit.max(1))
+    }
+
+    fn takes_flows(&self) -> bool {
+        !self.load.draining && self.connections() < self.load.connection_limit
+    }
+
+    /// Slots that are free for this class of work.
+    fn free(&self, long: bool) -> u32 {
+        let free = u32::from(self.load.free()).saturating_sub(self.recent);
+        if !long {
+            return free;
+        }
+        let limit = admission::long_limit(self.load.slots);
+        let free_for_long = u32::from(limit.saturating_sub(self.load.long)).saturating_sub(self.recent);
+        free.min(free_for_long)
+    }
+
+    /// Waiting work for each slot.
+    fn queue(&self) -> f64 {
+        let waiting = u32::from(self.load.queued) + self.recent;
+        f64::from(waiting) / f64::from(self.load.slots.max(1))
+    }
+}
+
+/// Chooses the agent of a new flow: the emptier one of two random candidates, in the own data centre if that does not
+/// make its agents fuller than the others.
+pub fn flow(candidates: &[Candidate], rng: &mut impl Rng) -> Option<Choice> {
+    let mut usable: Vec<usize> = indices(candidates, Candidate::takes_flows);
+    let warm = |index: &usize| {
+        let warm = candidates[*index].load.warm_percent;
+        warm >= 100 || rng.random_range(0..100) < warm
+    };
+    let warm: Vec<usize> = usable.iter().copied().filter(warm).collect();
+    if !warm.is_empty() {
+        usable = warm;
+    }
+    let near: Vec<usize> = usable.iter().copied().filter(|&index| candidates[index].near).collect();
+    let far: Vec<usize> = usable
+        .iter()
+        .copied()
+        .filter(|&index| !candidates[index].near)
+        .collect();
+    if near.is_empty() || far.is_empty() {
+        return emptier_of_two(candidates, &usable, "only data centre", rng);
+    }
+    let choice = emptier_of_two(candidates, &near, "own data centre", rng)?;
+    let chosen = &candidates[choice.index];
+    let one_flow = 1.0 / f64::from(chosen.load.connection_limit.max(1));
+    let near_is_fuller = mean(candidates, &near) > NEAR_FACTOR * mean(candidates, &far) + one_flow;
+    if !near_is_fuller && chosen.fullness() <= NEAR_IMBALANCE * mean(candidates, &usable) + one_flow {
+        return Some(choice);
+    }
+    emptier_of_two(candidates, &usable, "own data centre is fuller", rng)
+}
+
+/// Chooses a peer for a request that has no slot here: one with free slots, in the own data centre if possible, or else
+/// one with a much shorter queue.
+pub fn request(own: &Load, peers: &[Candidate], long: bool, rng: &mut impl Rng) -> Option<Choice> {
+    for (near, reason) in [(true, "free slots"), (false, "free slots in another data centre")] {
+        let free = |peer: &Candidate| u32::from(peer.near == near && !peer.load.draining) * peer.free(long);
+        if let Some(index) = weighted(peers, |peer| f64::from(free(peer)), rng) {
+            return Some(Choice { index, reason });
+        }
+    }
+    let usable = indices(peers, |peer| !peer.load.draining);
+    let shortest = usable
+        .into_iter()
+        .min_by(|&a, &b| peers[a].queue().total_cmp(&peers[b].queue()))?;
+    let own_queue = f64::from(own.queued) / f64::from(own.slots.max(1));
+    // A difference of less than one request a slot is within what happens between two reports.
+    (own_queue > peers[shortest].queue() + 1.0).then_some(Choice {
+        index: shortest,
+        reason: "shorter queue",
+    })
+}
+
+/// Baseline: any candidate.
+pub fn random(candidates: &[Candidate], rng: &mut impl Rng) -> Option<Choice> {
+    let usable = indices(candidates, |candidate| !candidate.load.draining);
+    let index = *usable.get(rng.random_range(0..usable.len().max(1)))?;
+    Some(Choice {
+        index,
+        reason: "random",
+    })
+}
+
+/// Baseline: the candidates in turn. `turn` counts the choices.
+pub fn in_turn(candidates: &[Candidate], turn: usize) -> Option<Choice> {
+    let usable = indices(candidates, |candidate| !candidate.load.draining);
+    let index = *usable.get(turn.checked_rem(usable.len())?)?;
+    Some(Choice {
+        index,
+        reason: "round robin",
+    })
+}
+
+/// Baseline: the candidate with the least reported value of `key`.
+pub fn least(candidates: &[Candidate], key: impl Fn(&Load) -> u32, rng: &mut impl Rng) -> Option<Choice> {
+    let usable = indices(candidates, |candidate| !candidate.load.draining);
+    let least = usable.iter().map(|&index| key(&candidates[index].load)).min()?;
+    let equal: Vec<usize> = usable
+        .into_iter()
+        .filter(|&index| key(&candidates[index].load) == least)
+        .collect();
+    Some(Choice {
+        index: equal[rng.random_range(0..equal.len())],
+        reason: "least reported load",
+    })
+}
+
+fn indices(candidates: &[Candidate], usable: impl Fn(&Candidate) -> bool) -> Vec<usize> {
+    (0..candidates.len())
+        .filter(|&index| usable(&candidates[index]))
+        .collect()
+}
+
+fn mean(candidates: &[Candidate], of: &[usize]) -> f64 {
+    let sum: f64 = of.iter().map(|&index| candidates[index].fullness()).sum();
+    sum / f64::from(u32::try_from(of.len()).unwrap_or(u32::MAX).max(1))
+}
+
+fn emptier_of_two(candidates: &[Candidate], of: &[usize], reason: &'static str, rng: &mut impl Rng) -> Option<Choice> {
+    if of.is_empty() {
+        return None;
+    }
+    let first = rng.random_range(0..of.len());
+    let mut second = rng.random_range(0..of.len());
+    if second == first {
+        second = (second + 1) % of.len();
+    }
+    let (first, second) = (of[first], of[second]);
+    let index = if candidates[second].fullness() < candidates[first].fullness() {
+        second
+    } else {
+        first
+    };
+    Some(Choice { index, reason })
+}
+
+/// Random index with a probability in proportion to its weight. Agents that decide at the same time on the same reports
+/// would all choose the same peer if each took the best one.
+fn weighted(candidates: &[Candidate], weight: impl Fn(&Candidate) -> f64, rng: &mut impl Rng) -> Option<usize> {
+    let total: f64 = candidates.iter().map(&weight).sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mut point = rng.random_range(0.0..total);
+    for (index, candidate) in candidates.iter().enumerate() {
+        let weight = weight(candidate);
+        if weight > 0.0 && point < weight {
+            return Some(index);
+        }
+        point -= weight;
+    }
+    (0..candidates.len())
+        .rev()
+        .find(|&index| weight(&candidates[index]) > 0.0)
+}
