--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod config;
 pub mod estimate;
+pub mod index;
 pub mod label;
 pub mod load;
 pub mod placement;
