Add the agent: flows, requests, feeds, hand-over and drain

The role was a stub. The agent now opens one endpoint per service, checks forwarded packets, places flows by Retry, runs requests, uploads and feeds against the backend server, serves handed-over requests and drains. The QUIC driver gets relays per connection, and waiting tasks are registered once, so that a long feed does not collect wakers. Not yet run against a balancer; it builds against the stubs.

--- /dev/null
+++ b/crates/dogwoodpitch/src/agent/drain.rs
@@ -0,0 +1,77 @@
+//! Reasons to give no new work to the backend server, and the notices that move open flows away.
+
+use std::{fmt, rc::Rc, time::Duration};
+
+use rand::seq::SliceRandom;
+
+use crate::{
+    agent::{Agent, flow},
+    protocol::request::{self, Notice},
+    state::service::Id,
+    transport::quic,
+};
+
+/// Time over which the notices of one service are spread, so that the callers do not reconnect all at once.
+const SPREAD: Duration = Duration::from_secs(1);
+
+/// Why an agent takes no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The agent is stopping.
+    Stop,
+    /// The backend server is draining.
+    Backend,
+    /// The backend server does not answer.
+    Unreachable,
+    /// The configuration does not select this agent for the service.
+    NotSelected,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Stop => "agent is stopping",
+            Self::Backend => "backend server is draining",
+            Self::Unreachable => "backend server is unreachable",
+            Self::NotSelected => "agent is not selected",
+        })
+    }
+}
+
+/// Asks the callers of a service's flows to move, spread over a second in random order.
+pub(super) async fn move_flows(agent: Rc<Agent>, service: Id, reason: Reason) {
+    let mut flows = agent.flows.unmoved(service);
+    if flows.is_empty() {
+        return;
+    }
+    log::info!(
+        event = "drain.move", service:% = service, flows = flows.len(), reason:% = reason,
+        revision = agent.sync.snapshot().revision; "asking callers to move"
+    );
+    flows.shuffle(&mut rand::rng());
+    let pause = SPREAD / u32::try_from(flows.len()).unwrap_or(u32::MAX);
+    for flow in flows {
+        monoio::spawn(notify(flow, reason));
+        monoio::time::sleep(pause).await;
+    }
+}
+
+async fn notify(flow: Rc<flow::Flow>, reason: Reason) {
+    if let Err(error) = send(&flow, reason).await {
+        log::debug!(event = "drain.notice_failed", flow = flow.id, error:% = error; "cannot send a notice");
+    }
+}
+
+async fn send(flow: &flow::Flow, reason: Reason) -> Result<(), quic::Error> {
+    let known = flow.notices.take();
+    let mut sender = match known {
+        Some(sender) => sender,
+        None => flow.connection.open_uni().await?,
+    };
+    let notice = Notice::Move {
+        reason: reason.to_string(),
+    };
+    sender.write(&request::encode(&notice)).await?;
+    flow.notices.set(Some(sender));
+    Ok(())
+}
--- a/crates/dogwoodpitch/src/agent/mod.rs
+++ b/crates/dogwoodpitch/src/agent/mod.rs
@@ -1,11 +1,350 @@
 //! Agent: ends the callers' flows beside a backend server and runs their requests.
 
-use std::io;
+pub mod backend;
+pub mod drain;
+pub mod flow;
+pub mod path;
 
-use crate::protocol::settings;
+mod feed;
+mod handover;
+mod request;
+mod wire;
+
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    future::poll_fn,
+    io,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::{Duration, Instant},
+};
+
+use metrics::{counter, gauge};
+use rand::{RngExt, seq::IteratorRandom};
+
+use crate::{
+    coordination::{admission::Gate, config::Sync, exchange::Exchange, peer, status},
+    protocol::{
+        cid::Codec,
+        datagram::{Header, Kind},
+        peer::{Digest, Report},
+        request as message, settings,
+    },
+    state::{roster::Role, service::Id},
+    transport::{metric::Recorder, signal::Termination, time, udp::Port},
+};
+
+/// Interval of the agent's checks of its own state.
+const TICK: Duration = Duration::from_millis(100);
+/// Delay of a tick from which the process counts as frozen.
+const FROZEN: Duration = Duration::from_secs(1);
+/// Interval of `/health` and `/load` of the backend server.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of probes, and balancers that are probed each time. Probing all of them would be 610 probes a second.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBES: usize = 3;
+/// How long the backend server must be unreachable until open flows are asked to move. A short loss of contact must not
+/// move thousands of flows.
+const UNREACHABLE_MOVE: Duration = Duration::from_secs(1);
+/// How long a stopping agent stays at least, to send new flows elsewhere until the others know that it drains.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// A running agent.
+pub(crate) struct Agent {
+    settings: settings::Agent,
+    incarnation: u32,
+    codec: Codec,
+    sync: Sync,
+    gate: Gate,
+    exchange: Exchange,
+    port: Port,
+    flush: Flush,
+    balancers: path::Balancers,
+    backend: backend::Backend,
+    flows: flow::Flows,
+    stopping: Cell<bool>,
+    running: Cell<usize>,
+}
+
+/// Asks for collected frames to be sent once the tasks that run now have had their turn.
+#[derive(Default)]
+struct Flush {
+    requested: Cell<bool>,
+    waker: Cell<Option<Waker>>,
+}
+
+impl Flush {
+    fn request(&self) {
+        self.requested.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    async fn requested(&self) {
+        poll_fn(|cx| {
+            if self.requested.replace(false) {
+                return Poll::Ready(());
+            }
+            self.waker.set(Some(cx.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+impl Agent {
+    /// Why new work of a service does not go to the backend server of this agent.
+    fn draining(&self, service: Id) -> Option<drain::Reason> {
+        if let Some(reason) = self.draining_all() {
+            return Some(reason);
+        }
+        let name = self.flows.name(service)?;
+        let selected = self.sync.snapshot().selects(&name, &self.settings.node.name);
+        (!selected).then_some(drain::Reason::NotSelected)
+    }
+
+    /// Why no new work of any service goes to the backend server.
+    fn draining_all(&self) -> Option<drain::Reason> {
+        if self.stopping.get() {
+            Some(drain::Reason::Stop)
+        } else if self.backend.is_unreachable() {
+            Some(drain::Reason::Unreachable)
+        } else if self.backend.is_draining(Instant::now()) {
+            Some(drain::Reason::Backend)
+        } else {
+            None
+        }
+    }
+}
+
+/// Checks that the certificates in the settings can be used.
+pub fn check(settings: &settings::Agent) -> Result<(), flow::Error> {
+    let certificates = settings.certificates.iter();
+    certificates
+        .map(|certificate| flow::server_config(certificate, &settings.token.0))
+        .try_for_each(|config| config.map(drop))
+}
 
 /// Runs an agent until SIGTERM and the end of its graceful stop.
 pub async fn run(settings: settings::Agent) -> io::Result<()> {
-    let _ = settings;
+    let termination = Termination::open()?;
+    let recorder = Recorder::open();
+    let incarnation = time::incarnation();
+    let node = &settings.node;
+    let port = Port::bind(node.datagram, node.keys.frame())?;
+    let sync = Sync::spawn(node, Role::Agent, incarnation, port.clone());
+    let backend = &settings.backend;
+    let gate = Gate::open(backend.slots, backend.connections, incarnation, settings.policy);
+    let cluster = node.keys.cluster.0;
+    let exchange = Exchange::spawn(&sync, gate.clone(), port.clone(), cluster, settings.policy);
+    let agent = Rc::new(Agent {
+        incarnation,
+        codec: node.keys.codec(),
+        sync: sync.clone(),
+        gate,
+        exchange,
+        port,
+        flush: Flush::default(),
+        balancers: path::Balancers::default(),
+        backend: backend::Backend::new(backend.address),
+        flows: flow::Flows::default(),
+        stopping: Cell::default(),
+        running: Cell::default(),
+        settings,
+    });
+    let draining = status::Draining::default();
+    status::serve(&sync, recorder, Rc::clone(&draining), status_members(&agent))?;
+    let host = Rc::clone(&agent);
+    peer::listen(&sync, cluster, move |link, message| {
+        handover::serve(Rc::clone(&host), link, message)
+    })?;
+    monoio::spawn(follow_config(Rc::clone(&agent)));
+    monoio::spawn(receive(Rc::clone(&agent)));
+    monoio::spawn(flush(Rc::clone(&agent)));
+    monoio::spawn(poll_backend(Rc::clone(&agent)));
+    monoio::spawn(probe(Rc::clone(&agent)));
+    monoio::spawn(tick(Rc::clone(&agent), draining));
+    log::info!(
+        event = "agent.started", node = agent.settings.node.name, incarnation = incarnation,
+        datagram:% = agent.settings.node.datagram, backend:% = agent.settings.backend.address; "agent started"
+    );
+    termination.requested().await;
+    stop(&agent).await;
     Ok(())
 }
+
+/// Waits until the callers have left and running requests have ended, or until the stop deadline.
+async fn stop(agent: &Agent) {
+    let now = Instant::now();
+    let timeout = Duration::from_millis(agent.settings.node.stop_timeout_ms.into());
+    let (linger, deadline) = (now + LINGER.min(timeout), now + timeout);
+    agent.stopping.set(true);
+    log::info!(
+        event = "agent.stopping", connections = agent.flows.connections(), running = agent.running.get();
+        "agent is stopping"
+    );
+    loop {
+        let now = Instant::now();
+        let idle = agent.flows.connections() == 0 && agent.running.get() == 0;
+        if now >= deadline || (idle && now >= linger) {
+            break;
+        }
+        monoio::time::sleep(TICK).await;
+    }
+    log::info!(
+        event = "agent.stopped", connections = agent.flows.connections(), running = agent.running.get();
+        "agent stopped"
+    );
+    agent.flows.close("agent stopped");
+    monoio::time::sleep(flow::CLOSE_FLUSH).await;
+}
+
+fn status_members(agent: &Rc<Agent>) -> impl Fn() -> serde_json::Value + 'static {
+    let agent = Rc::clone(agent);
+    move || {
+        let load = agent.gate.load();
+        serde_json::json!({
+            "connections": agent.flows.connections(),
+            "slots": load.slots,
+            "busy_slots": load.busy,
+            "long_slots": load.long,
+            "queue": load.queued,
+            "running": agent.running.get(),
+            "balancers": agent.balancers.live(Instant::now()),
+        })
+    }
+}
+
+async fn follow_config(agent: Rc<Agent>) {
+    let mut known = agent.sync.snapshot();
+    loop {
+        agent.update_sites();
+        known = agent.sync.changed(&known).await;
+    }
+}
+
+async fn receive(agent: Rc<Agent>) {
+    loop {
+        let received = agent
+            .port
+            .recv(|from, header, payload| {
+                let now = Instant::now();
+                match header.kind {
+                    Kind::Forward => {
+                        agent.balancers.hear(from, now);
+                        agent.receive_packet(from, &header, payload);
+                    }
+                    Kind::ProbeReply => agent.balancers.hear(from, now),
+                    Kind::Probe => {
+                        agent.balancers.hear_known(from, now);
+                        agent.port.send(from, &Header::control(Kind::ProbeReply), payload);
+                        agent.flush.request();
+                    }
+                    Kind::Digest => {
+                        agent.balancers.hear_known(from, now);
+                        match message::parse::<Digest>(payload) {
+                            Ok(digest) => agent.sync.receive_digest(from, &digest),
+                            Err(_) => count_malformed("digest"),
+                        }
+                    }
+                    Kind::Load => match message::parse::<Report>(payload) {
+                        Ok(report) => agent.exchange.receive_load(&report),
+                        Err(_) => count_malformed("load"),
+                    },
+                    Kind::Return => count_malformed("return"),
+                }
+            })
+            .await;
+        if let Err(error) = received {
+            log::warn!(event = "port.receive_failed", error:% = error; "cannot receive frames");
+            monoio::time::sleep(TICK).await;
+        }
+    }
+}
+
+fn count_malformed(kind: &'static str) {
+    counter!("dogwoodpitch_agent_frames_refused_total", "kind" => kind).increment(1);
+}
+
+async fn flush(agent: Rc<Agent>) {
+    loop {
+        agent.flush.requested().await;
+        agent.port.flush();
+    }
+}
+
+async fn poll_backend(agent: Rc<Agent>) {
+    loop {
+        let next = Instant::now() + POLL_INTERVAL;
+        agent.backend.poll().await;
+        time::sleep_until(next).await;
+    }
+}
+
+/// Probes a few balancers, so that the agent knows live ones for flows whose balancer is silent.
+async fn probe(agent: Rc<Agent>) {
+    loop {
+        let snapshot = agent.sync.snapshot();
+        let balancers = snapshot.roster.of_role(Role::Balancer);
+        let payload: [u8; 8] = rand::rng().random();
+        for node in balancers.sample(&mut rand::rng(), PROBES) {
+            agent.port.send(node.datagram, &Header::control(Kind::Probe), &payload);
+        }
+        agent.port.flush();
+        monoio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Follows the agent's own state: drains, frozen phases, gauges.
+async fn tick(agent: Rc<Agent>, draining: status::Draining) {
+    let mut moved: HashMap<Id, drain::Reason> = HashMap::new();
+    let mut unreachable_since: Option<Instant> = None;
+    let mut known = None;
+    loop {
+        let before = Instant::now();
+        monoio::time::sleep(TICK).await;
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(before);
+        if gap > FROZEN {
+            log::warn!(event = "agent.frozen", ms = gap.as_millis(); "the agent was not scheduled; discarding its view of its peers");
+            counter!("dogwoodpitch_agent_frozen_total").increment(1);
+        }
+        agent.balancers.prune(now);
+        let reason = agent.draining_all();
+        if reason != known {
+            let text = reason.map_or_else(|| "none".to_owned(), |reason| reason.to_string());
+            log::info!(event = "drain.changed", reason = text, revision = agent.sync.snapshot().revision; "drain state changed");
+            known = reason;
+        }
+        draining.set(reason.is_some());
+        agent.gate.set_draining(reason.is_some());
+        let connections = u32::try_from(agent.flows.connections()).unwrap_or(u32::MAX);
+        agent.gate.set_connections(connections);
+        gauge!("dogwoodpitch_agent_connections").set(f64::from(connections));
+        let load = agent.gate.load();
+        gauge!("dogwoodpitch_agent_slots_busy").set(f64::from(load.busy));
+        gauge!("dogwoodpitch_agent_queue").set(f64::from(load.queued));
+        if reason == Some(drain::Reason::Unreachable) {
+            unreachable_since.get_or_insert(now);
+        } else {
+            unreachable_since = None;
+        }
+        let settled = unreachable_since.is_none_or(|since| now.saturating_duration_since(since) >= UNREACHABLE_MOVE);
+        for service in agent.flows.services() {
+            match agent.draining(service) {
+                Some(reason) if settled => {
+                    moved.insert(service, reason);
+                    monoio::spawn(drain::move_flows(Rc::clone(&agent), service, reason));
+                }
+                Some(_) => {}
+                None => {
+                    if moved.remove(&service).is_some() {
+                        agent.flows.reset_moved(service);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/dogwoodpitch/src/transport/quic.rs
+++ b/crates/dogwoodpitch/src/transport/quic.rs
@@ -8,7 +8,7 @@
     collections::{HashMap, VecDeque},
     fmt,
     future::poll_fn,
-    net::SocketAddr,
+    net::{SocketAddr, SocketAddrV4},
     pin::Pin,
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
@@ -111,7 +111,18 @@
     Ignore,
 }
 
-type Output = Box<dyn Fn(SocketAddr, &[u8])>;
+/// Relay of a connection, for owners that reach the remote through other nodes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Relay {
+    /// Relay that the next datagram takes if nothing speaks against it.
+    pub address: Option<SocketAddrV4>,
+    /// When the last datagram was received.
+    pub received: Option<Instant>,
+    /// When the last datagram was sent.
+    pub sent: Option<Instant>,
+}
+
+type Output = Box<dyn Fn(SocketAddr, &[u8], &Cell<Relay>)>;
 type Decide = Box<dyn Fn(&Incoming) -> Verdict>;
 
 struct Shared {
@@ -143,6 +154,21 @@
         server: Option<Arc<ServerConfig>>,
         output: impl Fn(SocketAddr, &[u8]) + 'static,
         decide: impl Fn(&Incoming) -> Verdict + 'static,
+    ) -> Self {
+        Self::open_relayed(
+            config,
+            server,
+            move |remote, datagram, _| output(remote, datagram),
+            decide,
+        )
+    }
+
+    /// Opens an endpoint whose `output` also gets the relay of the connection, and may update it.
+    pub fn open_relayed(
+        config: EndpointConfig,
+        server: Option<Arc<ServerConfig>>,
+        output: impl Fn(SocketAddr, &[u8], &Cell<Relay>) + 'static,
+        decide: impl Fn(&Incoming) -> Verdict + 'static,
     ) -> Self {
         let endpoint = quinn_proto::Endpoint::new(Arc::new(config), server, true, None);
         Self(Rc::new(Shared {
@@ -162,8 +188,18 @@
 
     /// Handles one received datagram.
     pub fn input(&self, remote: SocketAddr, datagram: BytesMut) {
+        self.input_from(None, remote, datagram);
+    }
+
+    /// Handles one datagram that a relay has delivered.
+    pub fn input_from(&self, relay: Option<SocketAddrV4>, remote: SocketAddr, datagram: BytesMut) {
         let shared = &self.0;
         let now = Instant::now();
+        let relay = Relay {
+            address: relay,
+            received: Some(now),
+            sent: None,
+        };
         let mut buffer = Vec::new();
         let event = shared
             .endpoint
@@ -174,17 +210,20 @@
                 let inner = shared.connections.borrow().get(&handle).cloned();
                 if let Some(inner) = inner {
                     inner.last_received.set(now);
+                    inner.relay.set(relay);
                     inner.proto.borrow_mut().handle_event(event);
                     inner.wake();
                 }
             }
-            Some(DatagramEvent::NewConnection(incoming)) => self.incoming(now, incoming, buffer),
-            Some(DatagramEvent::Response(transmit)) => (shared.output)(transmit.destination, &buffer[..transmit.size]),
+            Some(DatagramEvent::NewConnection(incoming)) => self.incoming(now, relay, incoming, buffer),
+            Some(DatagramEvent::Response(transmit)) => {
+                (shared.output)(transmit.destination, &buffer[..transmit.size], &Cell::new(relay));
+            }
             None => {}
         }
     }
 
-    fn incoming(&self, now: Instant, incoming: Incoming, mut buffer: Vec<u8>) {
+    fn incoming(&self, now: Instant, relay: Relay, incoming: Incoming, mut buffer: Vec<u8>) {
         let shared = &self.0;
         let verdict = (shared.decide)(&incoming);
         buffer.clear();
@@ -205,7 +244,7 @@
             Verdict::Accept => match endpoint.accept(incoming, now, &mut buffer, None) {
                 Ok((handle, proto)) => {
                     drop(endpoint);
-                    let connection = self.spawn(handle, proto, now);
+                    let connection = self.spawn(handle, proto, now, relay);
                     shared.accepted.borrow_mut().push_back(connection);
                     wake(&shared.accept_waker);
                     return;
@@ -215,7 +254,7 @@
         };
         drop(endpoint);
         if let Some(transmit) = transmit {
-            (shared.output)(transmit.destination, &buffer[..transmit.size]);
+            (shared.output)(transmit.destination, &buffer[..transmit.size], &Cell::new(relay));
         }
     }
 
@@ -223,7 +262,7 @@
     pub fn connect(&self, config: ClientConfig, remote: SocketAddr, name: &str) -> Result<Connection, ConnectError> {
         let now = Instant::now();
         let (handle, proto) = self.0.endpoint.borrow_mut().connect(now, config, remote, name)?;
-        Ok(self.spawn(handle, proto, now))
+        Ok(self.spawn(handle, proto, now, Relay::default()))
     }
 
     /// Next accepted connection. Its handshake may still be going on.
@@ -238,12 +277,19 @@
         .await
     }
 
-    fn spawn(&self, handle: ConnectionHandle, proto: quinn_proto::Connection, now: Instant) -> Connection {
+    fn spawn(
+        &self,
+        handle: ConnectionHandle,
+        proto: quinn_proto::Connection,
+        now: Instant,
+        relay: Relay,
+    ) -> Connection {
         let inner = Rc::new(Inner {
             proto: RefCell::new(proto),
             driver: Cell::default(),
             work: Cell::new(true),
             last_received: Cell::new(now),
+            relay: Cell::new(relay),
             connected: Cell::new(false),
             lost: RefCell::default(),
             wakers: RefCell::default(),
@@ -261,6 +307,7 @@
     driver: Cell<Option<Waker>>,
     work: Cell<bool>,
     last_received: Cell<Instant>,
+    relay: Cell<Relay>,
     connected: Cell<bool>,
     lost: RefCell<Option<ConnectionError>>,
     /// Tasks that wait for connection events: handshake, new streams, stream credit, loss.
@@ -281,6 +328,14 @@
         wake(&self.driver);
     }
 
+    /// Registers a task for connection events, once however often it polls.
+    fn register(&self, waker: &Waker) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+    }
+
     fn wake_connection(&self) {
         let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
         wakers.into_iter().for_each(Waker::wake);
@@ -354,7 +409,7 @@
             buffer.clear();
             let transmit = inner.proto.borrow_mut().poll_transmit(now, 1, &mut buffer);
             let Some(transmit) = transmit else { break };
-            (shared.output)(transmit.destination, &buffer[..transmit.size]);
+            (shared.output)(transmit.destination, &buffer[..transmit.size], &inner.relay);
         }
         inner.process_events();
         loop {
@@ -435,7 +490,7 @@
             if let Some(error) = inner.lost() {
                 return Poll::Ready(Err(error));
             }
-            inner.wakers.borrow_mut().push(cx.waker().clone());
+            inner.register(cx.waker());
             Poll::Pending
         })
         .await
@@ -454,7 +509,7 @@
             if let Some(reason) = inner.lost.borrow().clone() {
                 return Poll::Ready(reason);
             }
-            inner.wakers.borrow_mut().push(cx.waker().clone());
+            inner.register(cx.waker());
             Poll::Pending
         })
         .await
@@ -650,6 +705,11 @@
 
 impl Drop for Sender {
     fn drop(&mut self) {
+        self.connection
+            .inner()
+            .streams
+            .borrow_mut()
+            .remove(&(self.id, Side::Write));
         if !self.finished {
             let _ = self
                 .connection
@@ -711,6 +771,39 @@
         }
         result
     }
+
+    /// Waits until the peer resets the stream or the connection is lost; received data stays unread.
+    pub async fn reset(&mut self) -> Error {
+        let result = poll_fn(|cx| {
+            let inner = self.connection.inner();
+            let reset = inner.proto.borrow_mut().recv_stream(self.id).received_reset();
+            match reset {
+                Ok(Some(code)) => Poll::Ready(Some(Error::Reset {
+                    code: code.into_inner(),
+                })),
+                Ok(None) => {
+                    if let Some(error) = inner.lost() {
+                        return Poll::Ready(Some(error));
+                    }
+                    inner
+                        .streams
+                        .borrow_mut()
+                        .insert((self.id, Side::Read), cx.waker().clone());
+                    Poll::Pending
+                }
+                Err(_closed) => Poll::Ready(None),
+            }
+        })
+        .await;
+        match result {
+            Some(error) => {
+                self.ended |= matches!(error, Error::Reset { .. });
+                error
+            }
+            // The stream was read to its end, so it can no longer be reset.
+            None => std::future::pending().await,
+        }
+    }
 }
 
 fn read_chunk(proto: &mut quinn_proto::Connection, id: StreamId, max: usize) -> Result<Option<Bytes>, ReadError> {
@@ -726,6 +819,11 @@
 
 impl Drop for Receiver {
     fn drop(&mut self) {
+        self.connection
+            .inner()
+            .streams
+            .borrow_mut()
+            .remove(&(self.id, Side::Read));
         if !self.ended {
             let _ = self
                 .connection
