--- a/crates/dogwoodpitch-lab/src/backend.rs
+++ b/crates/dogwoodpitch-lab/src/backend.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
+    fmt::Write,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -378,7 +379,10 @@
             time::sleep_until(due).await;
         }
     }
-    let hex = hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut hex = String::new();
+    for byte in hash.finalize() {
+        let _ = write!(hex, "{byte:02x}");
+    }
     Ok((hex, bytes))
 }
 
--- a/crates/dogwoodpitch/src/agent/feed.rs
+++ b/crates/dogwoodpitch/src/agent/feed.rs
@@ -52,7 +52,7 @@
     /// Backend server beside this agent.
     Here(Box<backend::Feed>),
     /// Peer agent.
-    Peer(Remote, BytesMut),
+    Peer(Box<Remote>, BytesMut),
 }
 
 impl Source {
@@ -175,7 +175,7 @@
         && let Ok(Reply { code: Code::OK, .. }) = remote.reply().await
     {
         log_placement(agent, work, &remote.peer, &refusal.detail);
-        return Ok(Source::Peer(remote, BytesMut::new()));
+        return Ok(Source::Peer(Box::new(remote), BytesMut::new()));
     }
     log_placement(agent, work, "none", &refusal.detail);
     Err(refusal)
--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -39,7 +39,7 @@
 /// Time between looks for a free peer while a request waits for a slot here.
 const OFFER_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time a caller may ask for, which keeps deadlines within the range of the clock.
-const MAX_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
+const MAX_TIMEOUT: Duration = Duration::from_hours(24);
 /// How long a peer's early answer is waited for after it stopped reading the body.
 const EARLY_REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,7 +77,7 @@
 /// Where a request runs.
 enum Place {
     Here(Permit),
-    Peer(Remote),
+    Peer(Box<Remote>),
 }
 
 /// Result of a call as far as the head of its answer.
@@ -85,7 +85,7 @@
     /// The head of an answer has arrived, from the backend server beside this agent.
     Here(Box<Call>),
     /// The head of an answer has arrived from a peer.
-    Peer(Remote, Reply),
+    Peer(Box<Remote>, Reply),
     /// There is no answer.
     None(Reply),
     /// The caller no longer wants one.
@@ -190,7 +190,7 @@
         let Some(remote) = offer(agent, work).await else { break };
         if let Ok(remote) = remote {
             log_placement(agent, work, &remote.peer, "free slot of a peer");
-            return Ok(Place::Peer(remote));
+            return Ok(Place::Peer(Box::new(remote)));
         }
     }
     if let Some(drain) = drain {
@@ -210,7 +210,7 @@
             }
             Either::Right((Some(remote), _)) => {
                 log_placement(agent, work, &remote.peer, "slot of a peer became free");
-                return Ok(Place::Peer(remote));
+                return Ok(Place::Peer(Box::new(remote)));
             }
             Either::Right((None, _)) => {}
         }
@@ -329,7 +329,7 @@
 }
 
 /// Streams the body to a peer that has admitted the request, and waits for the head of the answer.
-async fn hand_over(wire: &mut Wire, work: &Work, mut remote: Remote) -> Outcome {
+async fn hand_over(wire: &mut Wire, work: &Work, mut remote: Box<Remote>) -> Outcome {
     let result = time::before(work.deadline, async {
         loop {
             match wire.next().await {
@@ -402,7 +402,7 @@
             let sent = time::before(work.deadline, answer_from(wire, &mut remote, &reply)).await;
             let complete = matches!(sent, Some(Ok(())));
             if complete && wire.is_ended() {
-                agent.exchange.finish(remote);
+                agent.exchange.finish(*remote);
             }
             finished(work, code, &detail, started);
             complete
--- a/crates/dogwoodpitch/src/agent/wire.rs
+++ b/crates/dogwoodpitch/src/agent/wire.rs
@@ -36,7 +36,7 @@
     /// Link of a peer that hands a request over.
     Link {
         /// The link.
-        link: Link,
+        link: Box<Link>,
         /// Whether the body has ended.
         ended: bool,
     },
@@ -81,7 +81,10 @@
 
     /// Wraps a link whose request was admitted.
     pub(super) fn link(link: Link) -> Self {
-        Self::Link { link, ended: false }
+        Self::Link {
+            link: Box::new(link),
+            ended: false,
+        }
     }
 
     /// Next part of the body. After its end it waits for a cancellation.
