--- a/crates/dogwoodpitch/src/transport/quic.rs
+++ b/crates/dogwoodpitch/src/transport/quic.rs
@@ -328,7 +328,7 @@
         wake(&self.driver);
     }
 
-    /// Registers a task for connection events, once however often it polls.
+    /// Registers a waiting task once, since a task that waits for several things is polled many times between events.
     fn register(&self, waker: &Waker) {
         let mut wakers = self.wakers.borrow_mut();
         if !wakers.iter().any(|known| known.will_wake(waker)) {
