Add the caller library: sessions, requests, feeds and moves

Work that is not idempotent is never sent twice.

transport/quic: a task that waits for several things registered its waker at each poll, so the list of wakers grew while a connection stayed open. It is now registered once. Sender::written tells whether any byte was taken.

--- /dev/null
+++ b/crates/dogwoodpitch/src/caller/link.rs
@@ -0,0 +1,68 @@
+//! One connection of a session, and its QUIC and TLS configuration.
+
+use std::{cell::Cell, sync::Arc, time::Duration};
+
+use quinn_proto::{ClientConfig, MtuDiscoveryConfig, TransportConfig, crypto::rustls::QuicClientConfig};
+use rustls::{
+    RootCertStore,
+    client::Resumption,
+    pki_types::{CertificateDer, pem::PemObject},
+};
+
+use crate::{caller::Settings, transport::quic::Connection};
+
+/// The frame between balancer and agent takes bytes, so datagrams stay below the usual path limit of 1,500 bytes.
+const MAX_MTU: u16 = 1400;
+/// The default of 333 ms repeats a lost first packet only after a second. Callers are a few milliseconds away.
+const INITIAL_RTT: Duration = Duration::from_millis(100);
+/// A request on a dead connection ends after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One connection of a session.
+#[derive(Debug)]
+pub(super) struct Link {
+    /// Number of the connection within the session.
+    pub(super) number: u64,
+    pub(super) connection: Connection,
+    /// Whether the path stayed silent. Work that may run twice leaves the connection at once; other work stays, since the
+    /// agent may only be frozen and still answer.
+    pub(super) abandoned: Cell<bool>,
+}
+
+/// TLS configuration that trusts the given certificates.
+pub(super) fn tls(roots: &str) -> Result<rustls::ClientConfig, String> {
+    let mut store = RootCertStore::empty();
+    for certificate in CertificateDer::pem_slice_iter(roots.as_bytes()) {
+        let certificate = certificate.map_err(|error| error.to_string())?;
+        store.add(certificate).map_err(|error| error.to_string())?;
+    }
+    if store.is_empty() {
+        return Err("expected at least one certificate in PEM".to_owned());
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| error.to_string())?
+        .with_root_certificates(store)
+        .with_no_client_auth();
+    // Another agent cannot resume the TLS session, and 0-RTT data could run twice.
+    config.resumption = Resumption::disabled();
+    Ok(config)
+}
+
+/// QUIC configuration of a session.
+pub(super) fn config(settings: &Settings) -> Result<ClientConfig, String> {
+    let crypto = QuicClientConfig::try_from(tls(&settings.roots)?).map_err(|error| error.to_string())?;
+    let mut mtu = MtuDiscoveryConfig::default();
+    mtu.upper_bound(MAX_MTU);
+    let idle = IDLE_TIMEOUT.max(Duration::from_millis(u64::from(settings.silence_ms) * 3));
+    let mut transport = TransportConfig::default();
+    transport
+        .keep_alive_interval(Some(Duration::from_millis(settings.keepalive_ms.into())))
+        .max_idle_timeout(Some(idle.try_into().map_err(|_bounds| "idle timeout out of range")?))
+        .initial_rtt(INITIAL_RTT)
+        .mtu_discovery_config(Some(mtu));
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/caller/request.rs
@@ -0,0 +1,194 @@
+//! Requests and uploads with their retries.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use rand::RngExt;
+
+use crate::{
+    caller::{
+        Answer, Work,
+        exchange::{self, Reader},
+        link::Link,
+        session::Inner,
+    },
+    protocol::{
+        code::Code,
+        request::{Head, Kind, Reply, encode},
+    },
+    transport::time,
+};
+
+/// Longest body of an answer.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+/// Delay before a retry when the agent gives no hint.
+const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Uploads give way to the short requests of the same connection.
+const UPLOAD_PRIORITY: i32 = -1;
+
+/// End of one attempt.
+enum Ended {
+    /// No byte of the request was written.
+    NotSent,
+    /// The agent answered.
+    Answered(Reply, Bytes),
+    /// The answer was lost after a byte was written.
+    Lost(String),
+}
+
+/// What is known about the attempts of one request.
+#[derive(Default)]
+struct Progress {
+    attempts: Cell<u32>,
+    /// The present attempt may have reached a backend server.
+    sent: Cell<bool>,
+    /// A former attempt of idempotent work may have run, so a later `not run` does not hold for the request as a whole.
+    unknown: Cell<bool>,
+}
+
+/// Runs a request to its answer or its deadline.
+pub(super) async fn run(session: &Inner, kind: Kind, work: &Work) -> Answer {
+    let progress = Progress::default();
+    let answer = time::before(work.deadline, attempts(session, kind, work, &progress)).await;
+    let mut answer = answer.unwrap_or_else(|| Answer {
+        code: if progress.sent.get() {
+            Code::DEADLINE_RUNNING
+        } else {
+            Code::DEADLINE
+        },
+        body: Bytes::new(),
+        detail: "deadline passed".to_owned(),
+        attempts: progress.attempts.get(),
+    });
+    if answer.code.is_not_run() && progress.unknown.get() {
+        answer.detail = format!("{}; a former attempt may have run", answer.detail);
+        answer.code = Code::LINK_LOST;
+    }
+    log::debug!(
+        event = "caller.answer",
+        id:% = work.id,
+        code = answer.code.0,
+        attempts = answer.attempts,
+        detail = answer.detail.as_str();
+        "request ended"
+    );
+    answer
+}
+
+async fn attempts(session: &Inner, kind: Kind, work: &Work, progress: &Progress) -> Answer {
+    session.budget.borrow_mut().record_request(Instant::now());
+    loop {
+        let link = session.link().await;
+        progress.sent.set(false);
+        let (answer, retry_after) = match attempt(session, &link, kind, work, progress).await {
+            Ended::NotSent => continue,
+            Ended::Answered(reply, body) => {
+                let hint = Duration::from_millis(reply.retry_after_ms.into());
+                let answer = Answer {
+                    code: reply.code,
+                    body,
+                    detail: reply.detail,
+                    attempts: progress.attempts.get(),
+                };
+                (answer, if hint.is_zero() { DEFAULT_RETRY_DELAY } else { hint })
+            }
+            Ended::Lost(detail) => {
+                let answer = Answer {
+                    code: Code::LINK_LOST,
+                    body: Bytes::new(),
+                    detail,
+                    attempts: progress.attempts.get(),
+                };
+                (answer, Duration::ZERO)
+            }
+        };
+        progress.sent.set(false);
+        progress.unknown.set(progress.unknown.get() || answer.code.is_unknown());
+        if !may_retry(answer.code, work.idempotent) {
+            return answer;
+        }
+        let now = Instant::now();
+        let at = now + retry_after.mul_f64(rand::rng().random_range(1.0..1.5));
+        if at >= work.deadline || !session.budget.borrow_mut().try_retry(now) {
+            return answer;
+        }
+        log::info!(
+            event = "caller.retry",
+            id:% = work.id,
+            code = answer.code.0,
+            reason = answer.detail.as_str(),
+            delay_ms = u64::try_from((at - now).as_millis()).unwrap_or(u64::MAX);
+            "retrying a request"
+        );
+        time::sleep_until(at).await;
+    }
+}
+
+/// Work that was not run may be sent again. Work that may have run is only sent again if it is idempotent.
+fn may_retry(code: Code, idempotent: bool) -> bool {
+    match code {
+        // A later attempt has even less time, and an invalid or cancelled request stays so.
+        Code::DEADLINE | Code::BAD_REQUEST | Code::CANCELLED => false,
+        Code::LINK_LOST | Code::BACKEND_LOST => idempotent,
+        other => other.is_not_run(),
+    }
+}
+
+async fn attempt(session: &Inner, link: &Link, kind: Kind, work: &Work, progress: &Progress) -> Ended {
+    let Ok((mut sender, receiver)) = link.connection.open_bi().await else {
+        return Ended::NotSent;
+    };
+    if kind == Kind::Upload {
+        sender.set_priority(UPLOAD_PRIORITY);
+    }
+    let left = work.deadline.saturating_duration_since(Instant::now());
+    let head = Head {
+        id: work.id,
+        kind,
+        class: work.class.clone(),
+        idempotent: work.idempotent,
+        timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        position: 0,
+        length: Some(work.body.len() as u64),
+    };
+    progress.attempts.set(progress.attempts.get() + 1);
+    progress.sent.set(true);
+    let write = async {
+        // A refusal stops the stream before the body ends, so the answer decides and not the write.
+        let result = async {
+            sender.write(&encode(&head)).await?;
+            sender.write(&work.body).await?;
+            sender.finish()
+        };
+        let _ = result.await;
+        std::future::pending::<()>().await;
+    };
+    let left_behind = async {
+        if !work.idempotent {
+            std::future::pending::<()>().await;
+        }
+        session.abandoned(link).await;
+    };
+    let result = monoio::select! {
+        result = answer(receiver) => result,
+        () = left_behind => return Ended::Lost("path silent".to_owned()),
+        () = write => unreachable!("writing does not end the attempt"),
+    };
+    match result {
+        Ok((reply, body)) => Ended::Answered(reply, body),
+        Err(_) if sender.written() == 0 => Ended::NotSent,
+        Err(error) => Ended::Lost(error.to_string()),
+    }
+}
+
+async fn answer(receiver: crate::transport::quic::Receiver) -> Result<(Reply, Bytes), exchange::Error> {
+    let mut reader = Reader::open(receiver);
+    let Some(reply) = reader.message::<Reply>().await? else {
+        return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
+    };
+    let body = reader.rest(MAX_ANSWER).await?;
+    Ok((reply, body))
+}
--- a/crates/dogwoodpitch/src/transport/quic.rs
+++ b/crates/dogwoodpitch/src/transport/quic.rs
@@ -281,6 +281,14 @@
         wake(&self.driver);
     }
 
+    /// Registers a waiting task once, since a task that waits for several things is polled many times between events.
+    fn register(&self, waker: &Waker) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+    }
+
     fn wake_connection(&self) {
         let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
         wakers.into_iter().for_each(Waker::wake);
@@ -435,7 +443,7 @@
             if let Some(error) = inner.lost() {
                 return Poll::Ready(Err(error));
             }
-            inner.wakers.borrow_mut().push(cx.waker().clone());
+            inner.register(cx.waker());
             Poll::Pending
         })
         .await
@@ -454,7 +462,7 @@
             if let Some(reason) = inner.lost.borrow().clone() {
                 return Poll::Ready(reason);
             }
-            inner.wakers.borrow_mut().push(cx.waker().clone());
+            inner.register(cx.waker());
             Poll::Pending
         })
         .await
@@ -499,6 +507,7 @@
             connection: self.clone(),
             id,
             finished: false,
+            written: 0,
         }
     }
 
@@ -561,6 +570,7 @@
     connection: Connection,
     id: StreamId,
     finished: bool,
+    written: u64,
 }
 
 impl fmt::Debug for Sender {
@@ -581,6 +591,7 @@
                 let written = inner.proto.borrow_mut().send_stream(self.id).write(data);
                 match written {
                     Ok(written) => {
+                        self.written += written as u64;
                         inner.wake();
                         Poll::Ready(Ok(written))
                     }
@@ -603,6 +614,11 @@
         Ok(())
     }
 
+    /// Bytes that the connection has taken; they may have been sent.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     /// Ends the stream. The data is still delivered as long as the connection lives.
     pub fn finish(&mut self) -> Result<(), Error> {
         self.finished = true;
