--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod config;
+pub mod index;
 pub mod label;
 pub mod load;
 pub mod roster;
