--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the outside systems, and the load tool.
 
 mod backend;
+mod cluster;
 mod demo;
 mod fabric;
 mod forward;
--- a/crates/dogwoodpitch/tests/caller.rs
+++ b/crates/dogwoodpitch/tests/caller.rs
@@ -34,7 +34,7 @@
         .build()
         .expect("a runtime starts");
     runtime.block_on(async {
-        time::before(Instant::now() + Duration::from_secs(60), test)
+        time::before(Instant::now() + Duration::from_mins(1), test)
             .await
             .expect("the test ends in time");
     });
@@ -248,12 +248,11 @@
         let bodies: Vec<Bytes> = (0..8_u8)
             .map(|n| vec![n; 1000 + usize::from(n) * 40_000].into())
             .collect();
-        let tasks: Vec<_> = bodies
-            .iter()
-            .enumerate()
+        let tasks: Vec<_> = (0..)
+            .zip(&bodies)
             .map(|(n, body)| {
                 let session = session.clone();
-                let work = work(n as u8, false, body.clone());
+                let work = work(n, false, body.clone());
                 monoio::spawn(async move { session.request(work).await })
             })
             .collect();
@@ -498,6 +497,8 @@
     });
 }
 
+type Change = fn(&mut Settings);
+
 /// Guards against settings errors that do not name their field.
 #[test]
 fn settings_name_the_wrong_field() {
@@ -513,7 +514,7 @@
         silence_ms: 1200,
     };
     valid.check().expect("valid settings");
-    let cases: [(&str, fn(&mut Settings)); 4] = [
+    let cases: [(&str, Change); 4] = [
         ("service", |settings| settings.service = "not a name".to_owned()),
         ("address", |settings| settings.address.set_port(0)),
         ("silence_ms", |settings| settings.silence_ms = 500),
