--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -302,6 +302,11 @@
         self.wait(revision).await
     }
 
+    /// Start of the feeds in milliseconds since the Unix epoch.
+    pub(crate) fn feed_epoch_ms(&self) -> u128 {
+        self.feed_epoch_ms
+    }
+
     /// Sets the label by which a host is selected.
     pub(crate) async fn label(&self, host: &Host) -> Result<u64, String> {
         let label = format!("service={}", self.services[host.service].name);
