--- a/crates/dogwoodpitch/src/transport/quic.rs
+++ b/crates/dogwoodpitch/src/transport/quic.rs
@@ -554,6 +554,7 @@
             connection: self.clone(),
             id,
             finished: false,
+            written: 0,
         }
     }
 
@@ -616,6 +617,7 @@
     connection: Connection,
     id: StreamId,
     finished: bool,
+    written: u64,
 }
 
 impl fmt::Debug for Sender {
@@ -636,6 +638,7 @@
                 let written = inner.proto.borrow_mut().send_stream(self.id).write(data);
                 match written {
                     Ok(written) => {
+                        self.written += written as u64;
                         inner.wake();
                         Poll::Ready(Ok(written))
                     }
@@ -658,6 +661,11 @@
         Ok(())
     }
 
+    /// Bytes that the connection has taken; they may have been sent.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     /// Ends the stream. The data is still delivered as long as the connection lives.
     pub fn finish(&mut self) -> Result<(), Error> {
         self.finished = true;
