Leave the roster out of pulls that need only a revision

Nodes that started within a minute of each other sent the whole roster with each configuration change.

A pull for a newer revision alone now asks for no roster entries.

--- a/crates/dogwoodpitch/src/coordination/config.rs
+++ b/crates/dogwoodpitch/src/coordination/config.rs
@@ -56,6 +56,8 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Clock difference between nodes that an incremental pull of the roster tolerates, in deciseconds.
 const INCARNATION_MARGIN: u32 = 600;
+/// Lowest incarnation of a pull that needs no roster entries.
+const NO_NODES: u32 = u32::MAX;
 /// Pause after a pull of the whole roster that brought nothing new; it doubles up to the maximum. Entries that some
 /// nodes have already dropped would otherwise cause such pulls with each digest.
 const MIN_ROSTER_PAUSE: Duration = Duration::from_secs(1);
@@ -590,9 +592,10 @@
         if digest.nodes as usize > snapshot.roster.len() && may_pull_roster {
             return Some(0);
         }
-        let newest = newest(&snapshot);
-        let behind = digest.revision > snapshot.revision || digest.incarnation > newest;
-        behind.then(|| self.recent_incarnation())
+        if digest.incarnation > newest(&snapshot) {
+            return Some(self.recent_incarnation());
+        }
+        (digest.revision > snapshot.revision).then_some(NO_NODES)
     }
 
     /// Lowest incarnation of the nodes that may have started after the newest known one, as clocks differ.
