Measure the forwarding path per second of processor time

One generator left the worker idle for 40% of the time, so there are two now. Other work on the machine takes the worker's core away, so packets are counted per second of the worker's processor time, as the median of 11 interleaved pairs.

--- a/crates/dogwoodpitch-lab/src/forward.rs
+++ b/crates/dogwoodpitch-lab/src/forward.rs
@@ -1,7 +1,7 @@
 //! Measures the forwarding path of the balancer against a bare receive-and-send loop.
 //!
-//! A generator thread sends, one worker thread forwards, and a sink thread receives. The generator keeps a window of
-//! packets in flight, so that no packets are lost and the worker is the slowest part.
+//! Generator threads send, one worker thread forwards, and a sink thread receives. The generators keep a window of packets
+//! in flight, so that no packets are lost and the worker is the slowest part.
 
 use std::{
     array, fs, io,
@@ -33,7 +33,10 @@
 };
 use hdrhistogram::Histogram;
 use monoio::{LegacyDriver, RuntimeBuilder};
-use nix::sys::socket::{self, MsgFlags, MultiHeaders, SockaddrIn, sockopt};
+use nix::{
+    sys::socket::{self, MsgFlags, MultiHeaders, SockaddrIn, sockopt},
+    time::ClockId,
+};
 use pico_args::Arguments;
 
 use crate::Outcome;
@@ -51,13 +54,15 @@
 /// Size of a QUIC packet.
 const PACKET: usize = 200;
 /// Packets in flight. Fits the socket buffers, and keeps the worker busy without pause.
-const WINDOW: u64 = 2048;
+const WINDOW: u64 = 4096;
+/// Generator threads. One left the worker idle for 40% of the time.
+const GENERATORS: u32 = 2;
 /// Silence after which the packets in flight are taken to be lost.
 const STALL: Duration = Duration::from_millis(20);
 /// Flows of the smaller memory measurement.
 const FEW_FLOWS: u32 = 1000;
 /// Pairs of throughput measurements. Other work on the machine disturbs single ones, so the median counts.
-const ROUNDS: u32 = 5;
+const ROUNDS: u32 = 11;
 /// Packets a second while the delay is measured; far below saturation.
 const DELAY_RATE: u32 = 10_000;
 /// Longest delay of the histogram in nanoseconds.
@@ -93,10 +98,19 @@
 
 struct Run {
     packets_per_s: f64,
+    /// Share of a core that the worker used. The worker is the slowest part only if this is near 1.
+    busy: f64,
     delays: Histogram<u64>,
     rss_kib: u64,
 }
 
+impl Run {
+    /// Packets a second of processor time. On a machine with other work the worker does not get its core all the time.
+    fn per_core(&self) -> f64 {
+        self.packets_per_s / self.busy
+    }
+}
+
 /// Runs the command.
 pub(crate) fn run(mut args: Arguments) -> Outcome {
     if args.contains("--help") {
@@ -122,8 +136,8 @@
 }
 
 fn measure(seconds: u32, flows: u32) -> io::Result<()> {
-    // Two throughput runs a round, two memory runs and three delay runs.
-    let time = Duration::from_secs(seconds.into()) / (2 * ROUNDS + 5);
+    // Two throughput runs a round, two memory runs, one direct run and three delay runs.
+    let time = Duration::from_secs(seconds.into()) / (2 * ROUNDS + 6);
     let few = run_path(Path::Balancer, Load::Saturating, FEW_FLOWS, time)?;
     let many = run_path(Path::Balancer, Load::Saturating, flows, time)?;
     println!(
@@ -134,12 +148,17 @@
         "flows {flows}: {:.0} packets/s, {} KiB",
         many.packets_per_s, many.rss_kib
     );
+    let direct = run_path(Path::Direct, Load::Saturating, flows, time)?;
+    println!("direct: {:.0} packets/s", direct.packets_per_s);
     let mut rounds = Vec::new();
     for round in 1..=ROUNDS {
-        let bare = run_path(Path::Bare, Load::Saturating, flows, time)?.packets_per_s;
-        let balancer = run_path(Path::Balancer, Load::Saturating, flows, time)?.packets_per_s;
-        println!("round {round}: bare {bare:.0} packets/s, balancer {balancer:.0} packets/s");
-        rounds.push((bare, balancer));
+        let bare = run_path(Path::Bare, Load::Saturating, flows, time)?;
+        let balancer = run_path(Path::Balancer, Load::Saturating, flows, time)?;
+        println!(
+            "round {round}: bare {:.0} packets/s with {:.2} of a core, balancer {:.0} packets/s with {:.2} of a core",
+            bare.packets_per_s, bare.busy, balancer.packets_per_s, balancer.busy
+        );
+        rounds.push((bare.per_core(), balancer.per_core()));
     }
     let median = |pick: fn(&(f64, f64)) -> f64| {
         let mut values: Vec<_> = rounds.iter().map(pick).collect();
@@ -173,6 +192,11 @@
     Ok(())
 }
 
+/// Processor time of the calling thread.
+fn thread_time() -> io::Result<Duration> {
+    Ok(ClockId::CLOCK_THREAD_CPUTIME_ID.now()?.into())
+}
+
 /// Runs packets through a path for a time.
 fn run_path(path: Path, load: Load, flows: u32, time: Duration) -> io::Result<Run> {
     let sink = bind()?;
@@ -186,8 +210,12 @@
     let worker_stop = Arc::clone(&stop);
     let worker = match path {
         Path::Direct => None,
-        Path::Bare => Some(thread::spawn(move || bare(sink_address, &ready, &worker_stop))),
-        Path::Balancer => Some(thread::spawn(move || balancer(sink_address, &ready, &worker_stop))),
+        Path::Bare => Some(thread::spawn(move || {
+            bare(sink_address, &ready, &worker_stop).and_then(|()| thread_time())
+        })),
+        Path::Balancer => Some(thread::spawn(move || {
+            balancer(sink_address, &ready, &worker_stop).and_then(|()| thread_time())
+        })),
     };
     let to = match &worker {
         None => sink_address,
@@ -197,17 +225,21 @@
         let (stop, received) = (Arc::clone(&stop), Arc::clone(&received));
         thread::spawn(move || drain(&sink, start, &received, &stop))
     };
-    let generator = {
-        let (stop, received) = (Arc::clone(&stop), Arc::clone(&received));
-        let flow = Flow {
-            codec: Codec::new(&[CID_KEY]),
-            agent: sink_address,
-            with_header: path == Path::Balancer,
-            flows,
-            next: 0,
-        };
-        thread::spawn(move || generate(flow, to, load, start, &received, &stop))
-    };
+    let sent = Arc::new(AtomicU64::new(0));
+    let generators = if matches!(load, Load::Paced) { 1 } else { GENERATORS };
+    let generators: Vec<_> = (0..generators)
+        .map(|index| {
+            let flow = Flow {
+                codec: Codec::new(&[CID_KEY]),
+                agent: sink_address,
+                with_header: path == Path::Balancer,
+                flows,
+                next: flows / generators * index,
+            };
+            let (stop, received, sent) = (Arc::clone(&stop), Arc::clone(&received), Arc::clone(&sent));
+            thread::spawn(move || generate(flow, to, load, start, &sent, &received, &stop))
+        })
+        .collect();
 
     // The first tenth warms up caches and queues.
     let warm_up = time / 10;
@@ -219,13 +251,17 @@
     let rss_kib = resident_kib()?;
     stop.store(true, Ordering::Relaxed);
 
-    generator.join().expect("the generator does not panic")?;
-    let delays = sink_thread.join().expect("the sink does not panic")?;
-    if let Some(worker) = worker {
-        worker.join().expect("the worker does not panic")?;
+    for generator in generators {
+        generator.join().expect("the generator does not panic")?;
     }
+    let delays = sink_thread.join().expect("the sink does not panic")?;
+    let busy = match worker {
+        Some(worker) => worker.join().expect("the worker does not panic")?,
+        None => Duration::ZERO,
+    };
     Ok(Run {
         packets_per_s: f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / elapsed.as_secs_f64(),
+        busy: busy.as_secs_f64() / start.elapsed().as_secs_f64(),
         delays,
         rss_kib,
     })
@@ -303,6 +339,7 @@
     to: SocketAddrV4,
     load: Load,
     start: Instant,
+    sent: &AtomicU64,
     received: &AtomicU64,
     stop: &AtomicBool,
 ) -> io::Result<()> {
@@ -324,18 +361,17 @@
     let mut buffer = vec![0; BATCH * MAX_DATAGRAM];
     let mut headers = MultiHeaders::<SockaddrIn>::preallocate(BATCH, None);
     let addresses = [Some(SockaddrIn::from(to)); BATCH];
-    let mut sent = 0;
     let mut progress = (0, Instant::now());
     while !stop.load(Ordering::Relaxed) {
         let arrived = received.load(Ordering::Relaxed);
         if progress.0 != arrived {
             progress = (arrived, Instant::now());
         }
-        if sent - arrived.min(sent) + BATCH as u64 > WINDOW {
+        if sent.load(Ordering::Relaxed).saturating_sub(arrived) + BATCH as u64 > WINDOW {
             if progress.1.elapsed() > STALL {
-                sent = arrived;
+                sent.store(arrived, Ordering::Relaxed);
             }
-            std::hint::spin_loop();
+            thread::yield_now();
             continue;
         }
         let nanos = nanos_since(start);
@@ -351,7 +387,7 @@
             [],
             MsgFlags::empty(),
         )?;
-        sent += results.count() as u64;
+        sent.fetch_add(results.count() as u64, Ordering::Relaxed);
     }
     Ok(())
 }
