--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -1,9 +1,11 @@
 //! Stand-ins for the outside systems, and the load tool.
 
 mod backend;
+mod cluster;
 mod demo;
 mod fabric;
 mod forward;
+mod gateway;
 mod measure;
 mod slopes;
 mod store;
