--- a/crates/dogwoodpitch/src/balancer/mod.rs
+++ b/crates/dogwoodpitch/src/balancer/mod.rs
@@ -30,6 +30,9 @@
 /// Time without packets after which a stopping balancer exits. The fabric looks at `/health` several times in it.
 const QUIET: Duration = Duration::from_secs(1);
 
+/// Shortest time between two replacements of the routes. When a fleet starts, each node's announcement is a change.
+const ROUTE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Runs a balancer until SIGTERM and the end of its graceful stop.
 pub async fn run(settings: settings::Balancer) -> io::Result<()> {
     let node = &settings.node;
@@ -120,11 +123,16 @@
 async fn follow_configuration(sync: Sync, forwarder: Rc<Forwarder>) {
     let data_centre = sync.own().data_centre.clone();
     let mut snapshot = sync.snapshot();
+    let mut revision = 0;
     loop {
         let table = Table::new(&snapshot, &data_centre, rand::random::<u16>().into());
-        ::log::info!(event = "route.changed", revision = table.revision; "routes of new flows replaced");
         let agents = snapshot.roster.of_role(Role::Agent);
         forwarder.set_table(table, agents.map(|node| (node.datagram, node.incarnation)));
+        if snapshot.revision > revision {
+            revision = snapshot.revision;
+            ::log::info!(event = "route.changed", revision; "routes of new flows replaced");
+        }
+        monoio::time::sleep(ROUTE_PAUSE).await;
         snapshot = sync.changed(&snapshot).await;
     }
 }
