--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -25,7 +25,7 @@
         config::Snapshot,
         load::Load,
         placement::{self, Candidate, Choice, Recent, Table},
-        roster::{Node, Role},
+        roster::Node,
         service::Id,
     },
     transport::{time, udp::Port, websocket::Link},
@@ -462,15 +462,13 @@
 
 impl View {
     fn new(snapshot: &Rc<Snapshot>, own: &str) -> Self {
-        let services: Vec<&str> = snapshot
+        let shared = snapshot
             .live_services()
-            .map(|service| service.name.as_str())
-            .filter(|service| snapshot.selects(service, own))
-            .collect();
-        let shares = |node: &&Node| services.iter().any(|service| snapshot.selects(service, &node.name));
-        let agents = snapshot.roster.of_role(Role::Agent).filter(|node| node.name != own);
+            .filter(|service| snapshot.selects(&service.name, own));
+        let agents = shared.flat_map(|service| snapshot.agents(&service.name));
+        let peers: BTreeMap<&str, &Node> = agents.map(|node| (node.name.as_str(), node)).collect();
         Self {
-            peers: agents.filter(shares).cloned().collect(),
+            peers: peers.into_values().filter(|node| node.name != own).cloned().collect(),
             services: RefCell::default(),
             snapshot: Rc::clone(snapshot),
         }
--- a/crates/dogwoodpitch/src/state/admission.rs
+++ b/crates/dogwoodpitch/src/state/admission.rs
@@ -27,9 +27,20 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest hint for a retry: the queue changes too fast for a longer forecast.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Time over which the demand of short work is averaged.
+const DEMAND_MEMORY: Duration = Duration::from_secs(2);
+/// Standard deviations of the number of concurrent short requests that long work leaves free. The number varies as in a
+/// Poisson process. With as many uploads as fit, the p99 of short requests of 10 to 30 ms was 30 ms without uploads,
+/// 78 ms with 0 deviations, 41 ms with 1 and 34 ms with 1.5 (7 slots, half loaded).
+const BURST: f64 = 1.5;
 /// Weight of a sample in the mean time of a class.
 const WEIGHT: f64 = 0.1;
 
+/// Deviations beyond the mean time that work must be able to run before its deadline. Earliest deadline first starts
+/// work at the last moment when the queue is long. At twice the capacity with exponential times, the goodput was 0.85
+/// with one deviation and 0.96 with four.
+const DEVIATIONS: u32 = 4;
+
 new_key_type! {
     /// Work that waits for a slot or has one.
     pub struct Ticket;
@@ -100,9 +111,18 @@
     classes: Classes,
     pace_short: Option<f64>,
     pace_long: Option<f64>,
+    demand: Demand,
     next_sequence: u64,
 }
 
+/// Slots that short work asks for, as a mean over the recent past.
+#[derive(Debug, Default)]
+struct Demand {
+    mean: f64,
+    current: f64,
+    since: Option<Instant>,
+}
+
 #[derive(Debug)]
 struct Entry {
     work: Work,
@@ -157,6 +177,7 @@
             classes: Classes::default(),
             pace_short: None,
             pace_long: None,
+            demand: Demand::default(),
             next_sequence: 0,
         }
     }
@@ -171,6 +192,7 @@
         let entry = self.entry(work, estimate, now);
         let ticket = self.entries.insert(entry);
         self.start_ticket(ticket, now);
+        self.record_demand(now);
         Some(ticket)
     }
 
@@ -236,6 +258,7 @@
                 changes.started.push(ticket);
             }
         }
+        self.record_demand(now);
         changes
     }
 
@@ -349,9 +372,28 @@
         self.short.len + self.long.len
     }
 
-    /// Most slots that long work may occupy.
+    /// Most slots that long work may occupy now: all but 2, or fewer while short work needs more. Long work keeps its
+    /// slot for many times the length of a short request, so the slots that a burst of requests needs must stay free.
     pub fn long_limit(&self) -> u16 {
-        long_limit(self.slots)
+        let mean = self.demand.mean;
+        let for_short = (mean + BURST * mean.sqrt()).round();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the demand is between 0 and the number of slots"
+        )]
+        let for_short = for_short.clamp(0.0, f64::from(self.slots)) as u16;
+        long_limit(self.slots).min(self.slots - for_short).max(1)
+    }
+
+    fn record_demand(&mut self, now: Instant) {
+        let running = self
+            .running
+            .iter()
+            .filter(|&&ticket| !self.entries[ticket].estimate.long);
+        let wanted = (running.count() + self.short.len).min(usize::from(self.slots));
+        let wanted = u16::try_from(wanted).unwrap_or(self.slots);
+        self.demand.record(f64::from(wanted), now);
     }
 
     /// Whether work of this key and length is expected to be long.
@@ -373,7 +415,7 @@
                 // At most half of the time left is kept for running: a wrong estimate must not refuse work for ever.
                 let time_left = work.deadline.saturating_duration_since(now);
                 let reserve = if estimate.learned {
-                    (estimate.time + estimate.deviation).min(time_left / 2)
+                    (estimate.time + DEVIATIONS * estimate.deviation).min(time_left / 2)
                 } else {
                     Duration::ZERO
                 };
@@ -479,6 +521,16 @@
     slots.saturating_sub(RESERVED_FOR_SHORT).max(1)
 }
 
+impl Demand {
+    fn record(&mut self, wanted: f64, now: Instant) {
+        let since = self.since.replace(now).unwrap_or(now);
+        let age = now.saturating_duration_since(since).as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
+        let weight = 1.0 - (-age).exp();
+        self.mean += weight * (self.current - self.mean);
+        self.current = wanted;
+    }
+}
+
 impl Queue {
     fn push(&mut self, ticket: Ticket, entry: &Entry) {
         let share = self.services.entry(entry.work.key.service).or_default();
