Hand over requests of agents that are busier than the mean

A new agent has no flows, so with hand-over only when all slots are busy it stays idle at half load. Load reports carry the total busy time; each agent compares its mean with that of its peers and hands over a share of its short requests that settles where they are equal (Exchange::place_excess).

--- a/crates/dogwoodpitch/src/coordination/admission.rs
+++ b/crates/dogwoodpitch/src/coordination/admission.rs
@@ -156,8 +156,9 @@
 
     /// Load of this agent with the sequence number of the last report.
     pub fn current(&self) -> Load {
-        let scheduler = self.0.scheduler.borrow();
+        let mut scheduler = self.0.scheduler.borrow_mut();
         let now = Instant::now();
+        let slot_ms = scheduler.slot_time(now).as_millis() % (1 << 32);
         Load {
             incarnation: self.0.incarnation,
             sequence: self.0.sequence.get(),
@@ -169,6 +170,8 @@
             connections: self.0.connections.get(),
             draining: scheduler.is_draining(),
             warm_percent: warm_percent(now.saturating_duration_since(self.0.opened)),
+            long_limit: scheduler.long_limit(),
+            slot_ms: u32::try_from(slot_ms).unwrap_or(0),
         }
     }
 
--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -18,13 +18,13 @@
         code::Code,
         datagram::{Header, Kind},
         peer::{Message, Report},
-        request::{Head, Reply},
+        request::{self, Head, Reply},
         settings::Policy,
     },
     state::{
         config::Snapshot,
         load::Load,
-        placement::{self, Candidate, Choice, Recent, Table},
+        placement::{self, Candidate, Choice, Excess, Recent, Table, Usage},
         roster::Node,
         service::Id,
     },
@@ -58,6 +58,8 @@
     turn: Cell<usize>,
     table: RefCell<Table>,
     own_flows: RefCell<Recent>,
+    own_usage: Cell<Usage>,
+    excess: RefCell<HashMap<Id, Excess>>,
     reported: Cell<Load>,
     view: RefCell<Rc<View>>,
     pools: RefCell<HashMap<SocketAddr, Pool>>,
@@ -112,6 +114,8 @@
             turn: Cell::default(),
             table: RefCell::default(),
             own_flows: RefCell::default(),
+            own_usage: Cell::default(),
+            excess: RefCell::default(),
             view: RefCell::new(Rc::new(View::new(&sync.snapshot(), &sync.own().name))),
             pools: RefCell::default(),
             last_tick: Cell::new(Instant::now()),
@@ -236,6 +240,50 @@
         Some(self.log_request(&view, service, head, &nodes[index], reason, now))
     }
 
+    /// Chooses a peer for a request that could run here, if this agent is busier than the others of the service. To be
+    /// asked before [`Gate::try_acquire`]: without it, agents without flows stay idle until the others are full.
+    pub fn place_excess(&self, service: Id, head: &Head) -> Option<Node> {
+        let now = Instant::now();
+        if self.0.policy != Policy::Product || head.kind != request::Kind::Request {
+            return None;
+        }
+        self.check_freeze(now);
+        let view = self.view();
+        let share = self.0.excess.borrow_mut().entry(service).or_default().share();
+        if share <= 0.0 || self.0.gate.is_long(service, head) {
+            return None;
+        }
+        let (nodes, candidates) = self.request_candidates(&view, service, now);
+        let mean = self.mean_busy(&candidates)?;
+        let Choice { index, reason } = placement::excess(share, &candidates, mean, &mut rand::rng())?;
+        Some(self.log_request(&view, service, head, &nodes[index], reason, now))
+    }
+
+    /// Mean number of busy slots of this agent and its peers.
+    fn mean_busy(&self, peers: &[Candidate]) -> Option<f64> {
+        let own = self.0.own_usage.get().mean()?;
+        let active = peers.iter().filter(|peer| !peer.load.draining);
+        let busy: Vec<f64> = active.filter_map(|peer| peer.mean_busy).chain([own]).collect();
+        let count = u32::try_from(busy.len()).ok()?;
+        Some(busy.iter().sum::<f64>() / f64::from(count))
+    }
+
+    fn update_excess(&self, now: Instant) {
+        let mut usage = self.0.own_usage.get();
+        usage.record(self.0.gate.current().slot_ms, now);
+        self.0.own_usage.set(usage);
+        let Some(own) = usage.mean() else { return };
+        let view = self.view();
+        // Only services that have had a request are in the map.
+        self.0.excess.borrow_mut().retain(|service, excess| {
+            let (_, candidates) = self.request_candidates(&view, *service, now);
+            if let Some(mean) = self.mean_busy(&candidates) {
+                excess.update(own, mean);
+            }
+            !candidates.is_empty()
+        });
+    }
+
     /// Offers a request to a peer. An error is always `not run`: nothing but the head was sent, and the peer runs nothing
     /// before the body's end or its first chunk.
     pub async fn offer(
@@ -363,6 +411,7 @@
             near: true,
             load: self.0.gate.current(),
             recent: own_flows.count(now),
+            mean_busy: self.0.own_usage.get().mean(),
         }
     }
 
@@ -426,14 +475,20 @@
 
     fn tick(&self, now: Instant, last_all: &mut Option<Instant>) {
         self.0.table.borrow_mut().purge(now);
+        self.update_excess(now);
         self.0.pools.borrow_mut().retain(|_, pool| {
             pool.idle
                 .retain(|(_, since)| now.saturating_duration_since(*since) < MAX_IDLE);
             pool.in_use > 0 || !pool.idle.is_empty()
         });
         let due = last_all.is_none_or(|last| now.saturating_duration_since(last) >= INTERVAL);
-        let current = self.0.gate.current();
-        let changed = current != self.0.reported.get() && self.0.policy != Policy::LeastLoadStale;
+        let reported = self.0.reported.get();
+        // The counter of busy time changes with every request, and peers average it anyway.
+        let current = Load {
+            slot_ms: reported.slot_ms,
+            ..self.0.gate.current()
+        };
+        let changed = current != reported && self.0.policy != Policy::LeastLoadStale;
         if !due && !changed {
             return;
         }
--- a/crates/dogwoodpitch/src/state/admission.rs
+++ b/crates/dogwoodpitch/src/state/admission.rs
@@ -111,18 +111,13 @@
     classes: Classes,
     pace_short: Option<f64>,
     pace_long: Option<f64>,
-    demand: Demand,
+    /// Slots that short work asks for, as a mean over the recent past.
+    demand: f64,
+    slot_time: Duration,
+    accounted: Option<Instant>,
     next_sequence: u64,
 }
 
-/// Slots that short work asks for, as a mean over the recent past.
-#[derive(Debug, Default)]
-struct Demand {
-    mean: f64,
-    current: f64,
-    since: Option<Instant>,
-}
-
 #[derive(Debug)]
 struct Entry {
     work: Work,
@@ -177,13 +172,16 @@
             classes: Classes::default(),
             pace_short: None,
             pace_long: None,
-            demand: Demand::default(),
+            demand: 0.0,
+            slot_time: Duration::ZERO,
+            accounted: None,
             next_sequence: 0,
         }
     }
 
     /// Takes a slot only if that delays no other work.
     pub fn try_start(&mut self, work: Work, now: Instant) -> Option<Ticket> {
+        self.account(now);
         let estimate = self.estimate(&work);
         let queue_is_empty = self.short.len == 0 && (!estimate.long || self.long.len == 0);
         if self.draining || work.deadline <= now || !queue_is_empty || !self.has_slot(estimate.long, now) {
@@ -192,7 +190,6 @@
         let entry = self.entry(work, estimate, now);
         let ticket = self.entries.insert(entry);
         self.start_ticket(ticket, now);
-        self.record_demand(now);
         Some(ticket)
     }
 
@@ -210,6 +207,7 @@
                 retry_after: Duration::ZERO,
             });
         }
+        self.account(now);
         let estimate = self.estimate(&work);
         let entry = self.entry(work, estimate, now);
         if self.short.len + self.long.len >= MAX_WAITING {
@@ -238,6 +236,7 @@
 
     /// Gives free slots to waiting work and drops work that can no longer start in time.
     pub fn advance(&mut self, now: Instant) -> Changes {
+        self.account(now);
         let mut changes = Changes::default();
         let entries = &mut self.entries;
         self.running.retain(|&ticket| {
@@ -258,7 +257,6 @@
                 changes.started.push(ticket);
             }
         }
-        self.record_demand(now);
         changes
     }
 
@@ -283,6 +281,7 @@
 
     /// Frees the place or the slot of work whose caller has left. Returns whether a slot became free.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> bool {
+        self.account(now);
         if self.remove_waiting(ticket).is_some() {
             return false;
         }
@@ -305,6 +304,7 @@
         let Some(State::Running { since }) = self.entries.get(ticket).map(|entry| entry.state) else {
             return None;
         };
+        self.account(now);
         let time = now.saturating_duration_since(since);
         let expected = self.entries[ticket].estimate.time;
         if error && time < expected && self.order == Order::Class {
@@ -375,8 +375,7 @@
     /// Most slots that long work may occupy now: all but 2, or fewer while short work needs more. Long work keeps its
     /// slot for many times the length of a short request, so the slots that a burst of requests needs must stay free.
     pub fn long_limit(&self) -> u16 {
-        let mean = self.demand.mean;
-        let for_short = (mean + BURST * mean.sqrt()).round();
+        let for_short = (self.demand + BURST * self.demand.sqrt()).round();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -386,14 +385,25 @@
         long_limit(self.slots).min(self.slots - for_short).max(1)
     }
 
-    fn record_demand(&mut self, now: Instant) {
+    /// Time that all slots together have been busy, with those that fast errors keep busy.
+    pub fn slot_time(&mut self, now: Instant) -> Duration {
+        self.account(now);
+        self.slot_time
+    }
+
+    /// Accounts for the time since the last change. To be called before each change.
+    fn account(&mut self, now: Instant) {
+        let since = self.accounted.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since);
+        self.slot_time += elapsed * u32::from(self.busy());
         let running = self
             .running
             .iter()
             .filter(|&&ticket| !self.entries[ticket].estimate.long);
         let wanted = (running.count() + self.short.len).min(usize::from(self.slots));
-        let wanted = u16::try_from(wanted).unwrap_or(self.slots);
-        self.demand.record(f64::from(wanted), now);
+        let wanted = f64::from(u16::try_from(wanted).unwrap_or(self.slots));
+        let weight = 1.0 - (-elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64()).exp();
+        self.demand += weight * (wanted - self.demand);
     }
 
     /// Whether work of this key and length is expected to be long.
@@ -521,16 +531,6 @@
     slots.saturating_sub(RESERVED_FOR_SHORT).max(1)
 }
 
-impl Demand {
-    fn record(&mut self, wanted: f64, now: Instant) {
-        let since = self.since.replace(now).unwrap_or(now);
-        let age = now.saturating_duration_since(since).as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
-        let weight = 1.0 - (-age).exp();
-        self.mean += weight * (self.current - self.mean);
-        self.current = wanted;
-    }
-}
-
 impl Queue {
     fn push(&mut self, ticket: Ticket, entry: &Entry) {
         let share = self.services.entry(entry.work.key.service).or_default();
--- a/crates/dogwoodpitch/src/state/placement.rs
+++ b/crates/dogwoodpitch/src/state/placement.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, RngExt};
 
-use crate::state::{admission, load::Load};
+use crate::state::load::Load;
 
 /// How long a load report proves that an agent is alive.
 pub const VALID: Duration = Duration::from_secs(2);
@@ -33,6 +33,17 @@
 /// for the imbalance leaves no room for more.
 const NEAR_IMBALANCE: f64 = 1.05;
 
+/// Shortest time between two counters that gives a mean.
+const MIN_USAGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time over which the load of an agent is averaged.
+const USAGE_MEMORY: Duration = Duration::from_secs(1);
+/// Change of the share for a load of twice the mean.
+const GAIN: f64 = 0.1;
+/// Part of its requests that an agent hands over at most although it has a free slot.
+const MAX_SHARE: f64 = 0.9;
+/// Mean number of busy slots below which agents are not equalized further.
+const MIN_MEAN_BUSY: f64 = 0.5;
+
 /// One agent that may be chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
@@ -42,6 +53,8 @@
     pub load: Load,
     /// Own placements that the load does not contain yet.
     pub recent: u32,
+    /// Mean number of busy slots over the last reports, if there are two.
+    pub mean_busy: Option<f64>,
 }
 
 /// Index of the chosen candidate and the reason for the log.
@@ -63,6 +76,7 @@
 struct Entry {
     load: Load,
     heard: Instant,
+    usage: Usage,
     flows: Recent,
     requests: Recent,
     avoid_until: Option<Instant>,
@@ -104,6 +118,60 @@
     }
 }
 
+/// Mean number of busy slots of one agent, from the counter in its reports.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Usage {
+    last: Option<(u32, Instant)>,
+    mean: Option<f64>,
+}
+
+impl Usage {
+    /// Records a counter.
+    pub fn record(&mut self, slot_ms: u32, now: Instant) {
+        let Some((counter, at)) = self.last else {
+            self.last = Some((slot_ms, now));
+            return;
+        };
+        let elapsed = now.saturating_duration_since(at);
+        if elapsed < MIN_USAGE_INTERVAL {
+            return;
+        }
+        self.last = Some((slot_ms, now));
+        let busy = f64::from(slot_ms.wrapping_sub(counter)) / (elapsed.as_secs_f64() * 1_000.0);
+        let weight = 1.0 - (-elapsed.as_secs_f64() / USAGE_MEMORY.as_secs_f64()).exp();
+        self.mean = Some(self.mean.map_or(busy, |mean| mean + weight * (busy - mean)));
+    }
+
+    /// Mean number of busy slots.
+    pub fn mean(&self) -> Option<f64> {
+        self.mean
+    }
+}
+
+/// Share of the requests of one service that an agent hands over although it has a free slot.
+///
+/// Flows last for hours, so a new agent has none and would stay idle while the others are half loaded. The share is
+/// raised while this agent is busier than the mean of the service and lowered while it is less busy, so that it settles
+/// where both are equal.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Excess {
+    share: f64,
+}
+
+impl Excess {
+    /// Adapts the share, at each report interval.
+    pub fn update(&mut self, own: f64, mean: f64) {
+        // Below this load a few requests are a large ratio.
+        let error = (own - mean) / mean.max(MIN_MEAN_BUSY);
+        self.share = (self.share + GAIN * error.clamp(-1.0, 1.0)).clamp(0.0, MAX_SHARE);
+    }
+
+    /// Share of the requests that are handed over.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+}
+
 impl Table {
     /// Takes a report. Older reports than the known one are ignored, however late they arrive. Returns whether it was
     /// taken.
@@ -118,6 +186,7 @@
             }
             entry.load = load;
             entry.heard = now;
+            entry.usage.record(load.slot_ms, now);
             entry.flows.settle(now, FLOW_DELAY);
             entry.requests.settle(now, REQUEST_DELAY);
             return true;
@@ -172,6 +241,7 @@
             near,
             load: entry.load,
             recent: entry.flows.count(now),
+            mean_busy: entry.usage.mean(),
         })
     }
 
@@ -185,6 +255,7 @@
             near,
             load: entry.load,
             recent: entry.requests.count(now),
+            mean_busy: entry.usage.mean(),
         })
     }
 
@@ -211,9 +282,12 @@
 
 impl Entry {
     fn new(load: Load, heard: Instant) -> Self {
+        let mut usage = Usage::default();
+        usage.record(load.slot_ms, heard);
         Self {
             load,
             heard,
+            usage,
             flows: Recent::default(),
             requests: Recent::default(),
             avoid_until: None,
@@ -241,8 +315,7 @@
         if !long {
             return free;
         }
-        let limit = admission::long_limit(self.load.slots);
-        let free_for_long = u32::from(limit.saturating_sub(self.load.long)).saturating_sub(self.recent);
+        let free_for_long = u32::from(self.load.long_limit.saturating_sub(self.load.long)).saturating_sub(self.recent);
         free.min(free_for_long)
     }
 
@@ -305,6 +378,23 @@
     })
 }
 
+/// Chooses a peer for a request that could run here, so that the agents of the service are equally busy: with the
+/// probability `share`, a peer that is less busy than the mean.
+pub fn excess(share: f64, peers: &[Candidate], mean: f64, rng: &mut impl Rng) -> Option<Choice> {
+    if !rng.random_bool(share.clamp(0.0, 1.0)) {
+        return None;
+    }
+    let lack = |peer: &Candidate| match peer.mean_busy {
+        Some(busy) if !peer.load.draining && peer.free(false) > 0 => (mean - busy).max(0.0),
+        _ => 0.0,
+    };
+    let index = weighted(peers, lack, rng)?;
+    Some(Choice {
+        index,
+        reason: "less busy than the mean",
+    })
+}
+
 /// Baseline: any candidate.
 pub fn random(candidates: &[Candidate], rng: &mut impl Rng) -> Option<Choice> {
     let usable = indices(candidates, |candidate| !candidate.load.draining);
