--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -1,13 +1,17 @@
 //! Data model and decisions. No I/O happens in this layer, and time is always passed in.
 
+pub mod absence;
 pub mod admission;
 pub mod budget;
 pub mod config;
 pub mod estimate;
 pub mod index;
 pub mod label;
+pub mod limit;
+pub mod liveness;
 pub mod load;
 pub mod placement;
 pub mod roster;
+pub mod route;
 pub mod selector;
 pub mod service;
