--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -18,14 +18,14 @@
         code::Code,
         datagram::{Header, Kind},
         peer::{Message, Report},
-        request::{Head, Reply},
+        request::{self, Head, Reply},
         settings::Policy,
     },
     state::{
         config::Snapshot,
         load::Load,
-        placement::{self, Candidate, Choice, Recent, Table},
-        roster::{Node, Role},
+        placement::{self, Candidate, Choice, Excess, Recent, Table, Usage},
+        roster::Node,
         service::Id,
     },
     transport::{time, udp::Port, websocket::Link},
@@ -58,6 +58,8 @@
     turn: Cell<usize>,
     table: RefCell<Table>,
     own_flows: RefCell<Recent>,
+    own_usage: Cell<Usage>,
+    excess: RefCell<HashMap<Id, Excess>>,
     reported: Cell<Load>,
     view: RefCell<Rc<View>>,
     pools: RefCell<HashMap<SocketAddr, Pool>>,
@@ -81,11 +83,13 @@
     in_use: usize,
 }
 
-/// Place of one link in the pool, given back on drop.
+/// One offered request: a place in the pool and in the load of the peer, given back on drop.
 #[derive(Debug)]
 struct Lease {
     exchange: Rc<Inner>,
     peer: SocketAddr,
+    name: String,
+    placed: Instant,
 }
 
 /// A request that a peer has admitted.
@@ -112,6 +116,8 @@
             turn: Cell::default(),
             table: RefCell::default(),
             own_flows: RefCell::default(),
+            own_usage: Cell::default(),
+            excess: RefCell::default(),
             view: RefCell::new(Rc::new(View::new(&sync.snapshot(), &sync.own().name))),
             pools: RefCell::default(),
             last_tick: Cell::new(Instant::now()),
@@ -233,7 +239,53 @@
             }
         };
         let Choice { index, reason } = choice?;
-        Some(self.log_request(&view, service, head, &nodes[index], reason, now))
+        Self::log_request(&view, service, head, &nodes[index], reason);
+        Some(nodes[index].clone())
+    }
+
+    /// Chooses a peer for a request that could run here, if this agent is busier than the others of the service. To be
+    /// asked before [`Gate::try_acquire`]: without it, agents without flows stay idle until the others are full.
+    pub fn place_excess(&self, service: Id, head: &Head) -> Option<Node> {
+        let now = Instant::now();
+        if self.0.policy != Policy::Product || head.kind != request::Kind::Request {
+            return None;
+        }
+        self.check_freeze(now);
+        let view = self.view();
+        let share = self.0.excess.borrow_mut().entry(service).or_default().share();
+        if share <= 0.0 || self.0.gate.is_long(service, head) {
+            return None;
+        }
+        let (nodes, candidates) = self.request_candidates(&view, service, now);
+        let mean = self.mean_busy(&candidates)?;
+        let Choice { index, reason } = placement::excess(share, &candidates, mean, &mut rand::rng())?;
+        Self::log_request(&view, service, head, &nodes[index], reason);
+        Some(nodes[index].clone())
+    }
+
+    /// Mean number of busy slots of this agent and its peers.
+    fn mean_busy(&self, peers: &[Candidate]) -> Option<f64> {
+        let own = self.0.own_usage.get().mean()?;
+        let active = peers.iter().filter(|peer| !peer.load.draining);
+        let busy: Vec<f64> = active.filter_map(|peer| peer.mean_busy).chain([own]).collect();
+        let count = u32::try_from(busy.len()).ok()?;
+        Some(busy.iter().sum::<f64>() / f64::from(count))
+    }
+
+    fn update_excess(&self, now: Instant) {
+        let mut usage = self.0.own_usage.get();
+        usage.record(self.0.gate.current().slot_ms, now);
+        self.0.own_usage.set(usage);
+        let Some(own) = usage.mean() else { return };
+        let view = self.view();
+        // Only services that have had a request are in the map.
+        self.0.excess.borrow_mut().retain(|service, excess| {
+            let (_, candidates) = self.request_candidates(&view, *service, now);
+            if let Some(mean) = self.mean_busy(&candidates) {
+                excess.update(own, mean);
+            }
+            !candidates.is_empty()
+        });
     }
 
     /// Offers a request to a peer. An error is always `not run`: nothing but the head was sent, and the peer runs nothing
@@ -246,11 +298,10 @@
         head: &Head,
         deadline: Instant,
     ) -> Result<Remote, Reply> {
-        let limit = deadline.min(Instant::now() + OFFER_TIMEOUT);
         let view = self.view();
         let node = view.peers.iter().find(|node| node.peer == peer);
         let name = node.map_or_else(|| peer.to_string(), |node| node.name.clone());
-        let offered = self.offer_link(peer, service, caller, head, deadline, limit).await;
+        let offered = self.offer_link(peer, &name, service, caller, head, deadline).await;
         let (link, lease, message) = match offered {
             Ok(offered) => offered,
             Err(error) => {
@@ -305,13 +356,14 @@
     async fn offer_link(
         &self,
         peer: SocketAddr,
+        name: &str,
         service: Id,
         caller: &str,
         head: &Head,
         deadline: Instant,
-        limit: Instant,
     ) -> io::Result<(Link, Lease, Message)> {
-        let lease = self.lease(peer)?;
+        let limit = deadline.min(Instant::now() + OFFER_TIMEOUT);
+        let lease = self.lease(peer, name)?;
         let mut pooled = lease.take_idle();
         loop {
             let from_pool = pooled.is_some();
@@ -343,16 +395,20 @@
         }
     }
 
-    fn lease(&self, peer: SocketAddr) -> io::Result<Lease> {
+    fn lease(&self, peer: SocketAddr, name: &str) -> io::Result<Lease> {
         let mut pools = self.0.pools.borrow_mut();
         let pool = pools.entry(peer).or_default();
         if pool.in_use >= MAX_LINKS {
             return Err(io::Error::other("all links are in use"));
         }
         pool.in_use += 1;
+        let placed = Instant::now();
+        self.0.table.borrow_mut().placed_request(name, placed);
         Ok(Lease {
             exchange: Rc::clone(&self.0),
             peer,
+            name: name.to_owned(),
+            placed,
         })
     }
 
@@ -363,6 +419,7 @@
             near: true,
             load: self.0.gate.current(),
             recent: own_flows.count(now),
+            mean_busy: self.0.own_usage.get().mean(),
         }
     }
 
@@ -392,14 +449,12 @@
         candidates.unzip()
     }
 
-    fn log_request(&self, view: &View, service: Id, head: &Head, node: &Node, reason: &str, now: Instant) -> Node {
+    fn log_request(view: &View, service: Id, head: &Head, node: &Node, reason: &str) {
         log::info!(
             event = "request.placed", request:% = head.id, service:% = service, agent = node.name.as_str(),
             reason = reason, revision = view.snapshot.revision;
             "request offered to a peer"
         );
-        self.0.table.borrow_mut().placed_request(&node.name, now);
-        node.clone()
     }
 
     /// Current view, rebuilt when the configuration has changed.
@@ -426,14 +481,20 @@
 
     fn tick(&self, now: Instant, last_all: &mut Option<Instant>) {
         self.0.table.borrow_mut().purge(now);
+        self.update_excess(now);
         self.0.pools.borrow_mut().retain(|_, pool| {
             pool.idle
                 .retain(|(_, since)| now.saturating_duration_since(*since) < MAX_IDLE);
             pool.in_use > 0 || !pool.idle.is_empty()
         });
         let due = last_all.is_none_or(|last| now.saturating_duration_since(last) >= INTERVAL);
-        let current = self.0.gate.current();
-        let changed = current != self.0.reported.get() && self.0.policy != Policy::LeastLoadStale;
+        let reported = self.0.reported.get();
+        // The counter of busy time changes with every request, and peers average it anyway.
+        let current = Load {
+            slot_ms: reported.slot_ms,
+            ..self.0.gate.current()
+        };
+        let changed = current != reported && self.0.policy != Policy::LeastLoadStale;
         if !due && !changed {
             return;
         }
@@ -462,15 +523,13 @@
 
 impl View {
     fn new(snapshot: &Rc<Snapshot>, own: &str) -> Self {
-        let services: Vec<&str> = snapshot
+        let shared = snapshot
             .live_services()
-            .map(|service| service.name.as_str())
-            .filter(|service| snapshot.selects(service, own))
-            .collect();
-        let shares = |node: &&Node| services.iter().any(|service| snapshot.selects(service, &node.name));
-        let agents = snapshot.roster.of_role(Role::Agent).filter(|node| node.name != own);
+            .filter(|service| snapshot.selects(&service.name, own));
+        let agents = shared.flat_map(|service| snapshot.agents(&service.name));
+        let peers: BTreeMap<&str, &Node> = agents.map(|node| (node.name.as_str(), node)).collect();
         Self {
-            peers: agents.filter(shares).cloned().collect(),
+            peers: peers.into_values().filter(|node| node.name != own).cloned().collect(),
             services: RefCell::default(),
             snapshot: Rc::clone(snapshot),
         }
@@ -505,6 +564,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        self.exchange.table.borrow_mut().ended_request(&self.name, self.placed);
         if let Some(pool) = self.exchange.pools.borrow_mut().get_mut(&self.peer) {
             pool.in_use = pool.in_use.saturating_sub(1);
         }
