Start feeds at the given epoch and discard peers' loads after a freeze

The demo opens feeds at position 0 and expects event 1, but the stand-in began at the current position. A frozen agent calls Exchange::discard, and gauges no longer use up load sequence numbers.

--- a/crates/dogwoodpitch-lab/src/backend.rs
+++ b/crates/dogwoodpitch-lab/src/backend.rs
@@ -35,7 +35,8 @@
 Options:
   --work-ms N            mean time of a request in its slot (default 20)
   --upload-mib-s N       rate at which an upload is read (default 0: unlimited)
-  --feed-epoch-ms MS     Unix time of feed position 0 (default 2025-01-01)
+  --feed-epoch-ms MS     Unix time of feed position 0, where ?position=0 starts; without it, the feed began on 2025-01-01
+                         and ?position=0 starts now
   --feed-interval-ms N   time between two feed events (default 1000)
   --load-lag-ms N        delay of the answers of /health and /load (default 0)
   --seed N               seed of the times of requests (default 0)
@@ -52,7 +53,7 @@
     connections: usize,
     work: Duration,
     upload_bytes_per_s: f64,
-    feed_epoch_ms: u64,
+    feed_epoch_ms: Option<u64>,
     feed_interval_ms: u64,
     lag: Duration,
 }
@@ -128,7 +129,7 @@
         connections: args.value_from_str("--connections")?,
         work: Duration::from_millis(args.opt_value_from_str("--work-ms")?.unwrap_or(20)),
         upload_bytes_per_s: args.opt_value_from_str("--upload-mib-s")?.unwrap_or(0.0) * 1024.0 * 1024.0,
-        feed_epoch_ms: args.opt_value_from_str("--feed-epoch-ms")?.unwrap_or(DEFAULT_EPOCH_MS),
+        feed_epoch_ms: args.opt_value_from_str("--feed-epoch-ms")?,
         feed_interval_ms: args
             .opt_value_from_str("--feed-interval-ms")?
             .unwrap_or(1000_u64)
@@ -413,8 +414,10 @@
     if let Some(refusal) = server.refusal(false) {
         return refusal;
     }
-    let (epoch, interval) = (server.options.feed_epoch_ms, server.options.feed_interval_ms);
-    if position == 0 {
+    let interval = server.options.feed_interval_ms;
+    let epoch = server.options.feed_epoch_ms.unwrap_or(DEFAULT_EPOCH_MS);
+    // From the default epoch, a caller without a position would get millions of past events.
+    if position == 0 && server.options.feed_epoch_ms.is_none() {
         position = unix_ms().saturating_sub(epoch) / interval;
     }
     let (mut sender, body) = Channel::<Bytes, io::Error>::new(16);
--- a/crates/dogwoodpitch/src/agent/mod.rs
+++ b/crates/dogwoodpitch/src/agent/mod.rs
@@ -204,7 +204,7 @@
 fn status_members(agent: &Rc<Agent>) -> impl Fn() -> serde_json::Value + 'static {
     let agent = Rc::clone(agent);
     move || {
-        let load = agent.gate.load();
+        let load = agent.gate.current();
         serde_json::json!({
             "connections": agent.flows.connections(),
             "slots": load.slots,
@@ -310,6 +310,7 @@
         if gap > FROZEN {
             log::warn!(event = "agent.frozen", ms = gap.as_millis(); "the agent was not scheduled; discarding its view of its peers");
             counter!("dogwoodpitch_agent_frozen_total").increment(1);
+            agent.exchange.discard();
         }
         agent.balancers.prune(now);
         let reason = agent.draining_all();
@@ -323,7 +324,7 @@
         let connections = u32::try_from(agent.flows.connections()).unwrap_or(u32::MAX);
         agent.gate.set_connections(connections);
         gauge!("dogwoodpitch_agent_connections").set(f64::from(connections));
-        let load = agent.gate.load();
+        let load = agent.gate.current();
         gauge!("dogwoodpitch_agent_slots_busy").set(f64::from(load.busy));
         gauge!("dogwoodpitch_agent_queue").set(f64::from(load.queued));
         if reason == Some(drain::Reason::Unreachable) {
--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -119,7 +119,7 @@
     };
     let work = Work::new(flow.service, flow.caller.clone(), head);
     if work.head.kind == Kind::Feed {
-        feed::run(&agent, &mut wire, &work).await;
+        Box::pin(feed::run(&agent, &mut wire, &work)).await;
     } else {
         run(&agent, &mut wire, work).await;
     }
