Run a handed-over request only after the first part of its body

A peer called its backend server at once after Admitted. The peer now waits for the first body message. Only one waiting request at a time makes an offer, since all of them asked for the same free slot.

--- a/crates/dogwoodpitch/src/agent/handover.rs
+++ b/crates/dogwoodpitch/src/agent/handover.rs
@@ -57,7 +57,7 @@
         let _ = time::before(Instant::now() + DISCARD_TIMEOUT, discard(&mut wire)).await;
     }
     match wire {
-        Wire::Link { link, ended: true } if complete => Some(*link),
+        Wire::Link { link, ended: true, .. } if complete => Some(*link),
         _ => None,
     }
 }
--- a/crates/dogwoodpitch/src/agent/mod.rs
+++ b/crates/dogwoodpitch/src/agent/mod.rs
@@ -65,6 +65,8 @@
     flows: flow::Flows,
     stopping: Cell<bool>,
     running: Cell<usize>,
+    /// Whether a waiting request is being offered to a peer.
+    offering: Cell<bool>,
 }
 
 /// Asks for collected frames to be sent once the tasks that run now have had their turn.
@@ -152,6 +154,7 @@
         flows: flow::Flows::default(),
         stopping: Cell::default(),
         running: Cell::default(),
+        offering: Cell::default(),
         settings,
     });
     let draining = status::Draining::default();
--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -163,7 +163,11 @@
 pub(super) async fn run_admitted(agent: &Agent, wire: &mut Wire, work: Work, permit: Permit) -> bool {
     let _running = Running::start(agent);
     let started = Instant::now();
-    let outcome = call(agent, wire, &work, permit).await;
+    let outcome = match time::before(work.deadline, wire.confirmed()).await {
+        Some(Ok(())) => call(agent, wire, &work, permit).await,
+        Some(Err(cause)) => Outcome::Cancelled(cause),
+        None => Outcome::None(reply(Code::DEADLINE, "deadline passed before the body arrived")),
+    };
     answer(agent, wire, &work, outcome, started).await && wire.is_ended()
 }
 
@@ -236,9 +240,25 @@
 
 async fn later_offer(agent: &Agent, work: &Work) -> Option<Remote> {
     monoio::time::sleep(OFFER_INTERVAL).await;
+    let _offering = Offering::start(agent)?;
     offer(agent, work).await?.ok()
 }
 
+/// Lets one waiting request at a time make an offer. All of them would ask for the same free slot.
+struct Offering<'a>(&'a Agent);
+
+impl<'a> Offering<'a> {
+    fn start(agent: &'a Agent) -> Option<Self> {
+        (!agent.offering.replace(true)).then_some(Self(agent))
+    }
+}
+
+impl Drop for Offering<'_> {
+    fn drop(&mut self) {
+        self.0.offering.set(false);
+    }
+}
+
 /// Logs where a request runs and why.
 pub(super) fn log_placement(agent: &Agent, work: &Work, choice: &str, reason: &str) {
     log::info!(
@@ -383,14 +403,16 @@
             drop(upload);
             let (code, detail, complete) = match sent {
                 Some(Ok((code, detail))) => (code, detail, true),
-                Some(Err(error)) => (Code::BACKEND_LOST, error.to_string(), false),
+                Some(Err((code, error))) => (code, error.to_string(), false),
                 None => (
                     Code::DEADLINE_RUNNING,
                     "deadline passed during the answer".to_owned(),
                     false,
                 ),
             };
-            permit.done(bytes, code != Code::OK);
+            if code != Code::CANCELLED {
+                permit.done(bytes, code != Code::OK);
+            }
             if complete && wire.is_ended() {
                 agent.backend.reuse(answer);
             }
@@ -418,17 +440,22 @@
     }
 }
 
-async fn answer_here(agent: &Agent, wire: &mut Wire, answer: &mut backend::Answer) -> io::Result<(Code, String)> {
+async fn answer_here(
+    agent: &Agent,
+    wire: &mut Wire,
+    answer: &mut backend::Answer,
+) -> Result<(Code, String), (Code, io::Error)> {
+    let left = |error| (Code::CANCELLED, error);
     let (code, detail) = agent.backend.code(answer).await;
-    wire.reply(&reply(code, if code == Code::OK { "" } else { detail.as_str() }))
-        .await?;
+    let head = reply(code, if code == Code::OK { "" } else { detail.as_str() });
+    wire.reply(&head).await.map_err(left)?;
     while let Some(frame) = answer.response.frame().await {
-        let frame = frame.map_err(io::Error::other)?;
+        let frame = frame.map_err(|error| (Code::BACKEND_LOST, io::Error::other(error)))?;
         if let Ok(data) = frame.into_data() {
-            wire.write(data).await?;
+            wire.write(data).await.map_err(left)?;
         }
     }
-    wire.finish().await?;
+    wire.finish().await.map_err(left)?;
     Ok((code, detail))
 }
 
--- a/crates/dogwoodpitch/src/agent/wire.rs
+++ b/crates/dogwoodpitch/src/agent/wire.rs
@@ -37,6 +37,8 @@
     Link {
         /// The link.
         link: Box<Link>,
+        /// First part of the body, read ahead.
+        held: Option<Input>,
         /// Whether the body has ended.
         ended: bool,
     },
@@ -83,6 +85,7 @@
     pub(super) fn link(link: Link) -> Self {
         Self::Link {
             link: Box::new(link),
+            held: None,
             ended: false,
         }
     }
@@ -111,15 +114,37 @@
                     Either::Left((Err(error), _)) | Either::Right((error, _)) => Input::Cancelled(error.to_string()),
                 }
             }
-            Self::Link { link, ended } => match link.recv().await {
-                Ok(Message::Body(bytes)) if !*ended => Input::Chunk(bytes),
-                Ok(Message::BodyEnd) if !*ended => {
-                    *ended = true;
-                    Input::End
+            Self::Link { link, held, ended } => {
+                if let Some(held) = held.take() {
+                    return held;
                 }
-                Ok(_) => Input::Cancelled("unexpected message".to_owned()),
-                Err(error) => Input::Cancelled(error.to_string()),
-            },
+                match link.recv().await {
+                    Ok(Message::Body(bytes)) if !*ended => Input::Chunk(bytes),
+                    Ok(Message::BodyEnd) if !*ended => {
+                        *ended = true;
+                        Input::End
+                    }
+                    Ok(_) => Input::Cancelled("unexpected message".to_owned()),
+                    Err(error) => Input::Cancelled(error.to_string()),
+                }
+            }
+        }
+    }
+
+    /// Waits on a link for the first part of the body or its end. A peer that has found another place closes the link
+    /// instead, and the request must not run here as well.
+    pub(super) async fn confirmed(&mut self) -> Result<(), String> {
+        if let Self::Stream { .. } = self {
+            return Ok(());
+        }
+        match self.next().await {
+            Input::Cancelled(cause) => Err(cause),
+            first => {
+                if let Self::Link { held, .. } = self {
+                    *held = Some(first);
+                }
+                Ok(())
+            }
         }
     }
 
