--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -291,7 +291,6 @@
                 .change(&["service", "apply", &service.name, "--address", &address])
                 .await?;
         }
-        let hosts = self.hosts.borrow().clone();
         for host in &hosts {
             revision = self.label(host).await?;
         }
@@ -622,13 +621,15 @@
             lab: lab.clone(),
         };
         if let Some(cargo) = std::env::var_os("CARGO") {
-            for (package, path) in [
-                (BALANCER, &mut binaries.balancer),
-                (AGENT, &mut binaries.agent),
-                (CTL, &mut binaries.ctl),
-            ] {
-                *path = build(&cargo, package)?;
-            }
+            let mut built = build(&cargo)?;
+            let mut take = |name: &str| {
+                built
+                    .remove(name)
+                    .ok_or_else(|| format!("cargo build names no binary of {name}"))
+            };
+            binaries.balancer = take(BALANCER)?;
+            binaries.agent = take(AGENT)?;
+            binaries.ctl = take(CTL)?;
         }
         for path in [&binaries.balancer, &binaries.agent, &binaries.ctl] {
             if !path.exists() {
@@ -639,33 +640,37 @@
     }
 }
 
-/// Builds a package and gives the path of its binary.
-fn build(cargo: &std::ffi::OsStr, package: &str) -> Result<PathBuf, String> {
+/// Builds the daemons and gives the paths of their binaries. One call for all, since each choice of packages has its own
+/// features of dependencies and would compile them again.
+fn build(cargo: &std::ffi::OsStr) -> Result<BTreeMap<String, PathBuf>, String> {
     let mut command = Command::new(cargo);
     command.args([
         "build",
         "--release",
         "-q",
-        "-p",
-        package,
         "--message-format",
         "json-render-diagnostics",
     ]);
+    for package in [BALANCER, AGENT, CTL] {
+        command.args(["-p", package]);
+    }
     let output = command
         .stdin(Stdio::null())
         .stderr(Stdio::inherit())
         .output()
         .map_err(|error| format!("cannot run cargo: {error}"))?;
     if !output.status.success() {
-        return Err(format!("cargo build -p {package}: {}", output.status));
+        return Err(format!("cargo build: {}", output.status));
     }
     let messages = String::from_utf8_lossy(&output.stdout);
-    messages
+    let messages = messages
         .lines()
-        .filter_map(|line| serde_json::from_str::<Value>(line).ok())
-        .filter(|message| message["target"]["name"] == package)
-        .find_map(|message| message["executable"].as_str().map(PathBuf::from))
-        .ok_or_else(|| format!("cargo build -p {package} names no binary"))
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let binaries = messages.filter_map(|message| {
+        let name = message["target"]["name"].as_str()?.to_owned();
+        Some((name, PathBuf::from(message["executable"].as_str()?)))
+    });
+    Ok(binaries.collect())
 }
 
 /// Starts a process that ends with this one.
--- a/crates/dogwoodpitch-lab/src/demo.rs
+++ b/crates/dogwoodpitch-lab/src/demo.rs
@@ -54,7 +54,7 @@
         .map_err(|error| error.to_string())?;
     let rest = args.finish();
     if !rest.is_empty() {
-        return Err(format!("unexpected argument {:?}; see demo --help", rest[0]));
+        return Err(format!("unexpected argument {}; see demo --help", rest[0].display()));
     }
     let result = cluster::run(demo(keep_logs))?;
     println!("{result}");
--- a/crates/dogwoodpitch-lab/src/measure/judge.rs
+++ b/crates/dogwoodpitch-lab/src/measure/judge.rs
@@ -1,7 +1,7 @@
 //! Compares the backend servers' own record with what the callers were told.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -173,12 +173,12 @@
     from: Instant,
     to: Instant,
 ) -> Option<f64> {
-    let good: HashMap<String, ()> = short(tally, from, to)
+    let good: HashSet<String> = short(tally, from, to)
         .filter(|call| call.in_deadline)
-        .map(|call| (call.id.to_string(), ()))
+        .map(|call| call.id.to_string())
         .collect();
     let executions = records.iter().flat_map(|(_, record)| &record.executions);
-    let useful = executions.filter(|run| run.completed && run.id.as_ref().is_some_and(|id| good.contains_key(id)));
+    let useful = executions.filter(|run| run.completed && run.id.as_ref().is_some_and(|id| good.contains(id)));
     let times = useful.filter_map(|run| Some(run.finished_ms? - run.started_ms?));
     let possible = slots * (to - from).as_secs_f64() * 1000.0;
     (possible > 0.0).then(|| times.sum::<f64>() / possible)
--- a/crates/dogwoodpitch-lab/src/measure/mod.rs
+++ b/crates/dogwoodpitch-lab/src/measure/mod.rs
@@ -96,7 +96,7 @@
     let scenario: String = args.free_from_str().map_err(text)?;
     let rest = args.finish();
     if !rest.is_empty() {
-        return Err(format!("unexpected argument {:?}; see measure --help", rest[0]));
+        return Err(format!("unexpected argument {}; see measure --help", rest[0].display()));
     }
     if !(6..=600).contains(&run.seconds) {
         return Err("--seconds: expected 6 to 600".to_owned());
