--- a/crates/dogwoodpitch-lab/src/main.rs
+++ b/crates/dogwoodpitch-lab/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod fabric;
 mod forward;
+mod gateway;
 mod measure;
 mod slopes;
 mod store;
