Build the daemons of a lab run together with the lab

Cause: without the lab in the same call, cargo resolves other features (bitflags/std) and compiles all dependencies again. Change: the lab's own package is part of the call; the hosts are copied before labels are set.

--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -291,7 +291,7 @@
                 .change(&["service", "apply", &service.name, "--address", &address])
                 .await?;
         }
-        for host in &hosts {
+        for host in &self.hosts.borrow().clone() {
             revision = self.label(host).await?;
         }
         for service in &self.services {
@@ -640,8 +640,8 @@
     }
 }
 
-/// Builds the daemons and gives the paths of their binaries. One call for all, since each choice of packages has its own
-/// features of dependencies and would compile them again.
+/// Builds the daemons and gives the paths of their binaries. One call for all and the lab itself, since each choice of
+/// packages has its own features of dependencies and would compile them again.
 fn build(cargo: &std::ffi::OsStr) -> Result<BTreeMap<String, PathBuf>, String> {
     let mut command = Command::new(cargo);
     command.args([
@@ -651,7 +651,7 @@
         "--message-format",
         "json-render-diagnostics",
     ]);
-    for package in [BALANCER, AGENT, CTL] {
+    for package in [BALANCER, AGENT, CTL, env!("CARGO_PKG_NAME")] {
         command.args(["-p", package]);
     }
     let output = command
