--- a/crates/dogwoodpitch-lab/src/measure/judge.rs
+++ b/crates/dogwoodpitch-lab/src/measure/judge.rs
@@ -149,7 +149,7 @@
     let mut histogram = Histogram::<u64>::new(3).ok()?;
     for call in short(tally, from, to).filter(|call| call.code == Code::OK) {
         let micros = u64::try_from(call.took.as_micros()).unwrap_or(u64::MAX);
-        histogram.saturating_record(micros);
+        histogram.record(micros).ok()?;
     }
     let micros = u32::try_from(histogram.value_at_quantile(quantile)).unwrap_or(u32::MAX);
     (!histogram.is_empty()).then(|| f64::from(micros) / 1000.0)
