Hold new requests on a connection that has stopped answering, and back off retries

Change: a request waits when the acknowledgement of a former one is 250 ms overdue; the retry delay doubles up to 1 s.

--- a/crates/dogwoodpitch/src/caller/link.rs
+++ b/crates/dogwoodpitch/src/caller/link.rs
@@ -1,6 +1,10 @@
 //! One connection of a session, and its QUIC and TLS configuration.
 
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use quinn_proto::{ClientConfig, MtuDiscoveryConfig, TransportConfig, crypto::rustls::QuicClientConfig};
 use rustls::{
@@ -15,6 +19,8 @@
 const MAX_MTU: u16 = 1400;
 /// The default of 333 ms repeats a lost first packet only after a second. Callers are a few milliseconds away.
 const INITIAL_RTT: Duration = Duration::from_millis(100);
+/// Acknowledgements take a round trip and at most 25 ms; a lost one is sent again after about 100 ms.
+const SUSPECT_TIME: Duration = Duration::from_millis(250);
 /// A request on a dead connection ends after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -27,6 +33,33 @@
     /// Whether the path stayed silent. Work that may run twice leaves the connection at once; other work stays, since the
     /// agent may only be frozen and still answer.
     pub(super) abandoned: Cell<bool>,
+    /// When the first request was sent after the last datagram arrived.
+    unanswered: Cell<Option<Instant>>,
+}
+
+impl Link {
+    pub(super) fn new(number: u64, connection: Connection) -> Self {
+        Self {
+            number,
+            connection,
+            abandoned: Cell::new(false),
+            unanswered: Cell::new(None),
+        }
+    }
+
+    /// Notes that something was sent which the agent acknowledges at once.
+    pub(super) fn note_sent(&self, now: Instant) {
+        let received = self.connection.last_received();
+        if self.unanswered.get().is_none_or(|sent| sent <= received) {
+            self.unanswered.set(Some(now));
+        }
+    }
+
+    /// Whether an acknowledgement is overdue. New requests wait until it arrives or the connection is replaced.
+    pub(super) fn is_suspect(&self, now: Instant) -> bool {
+        let overdue = |sent| sent > self.connection.last_received() && now > sent + SUSPECT_TIME;
+        self.unanswered.get().is_some_and(overdue)
+    }
 }
 
 /// TLS configuration that trusts the given certificates.
--- a/crates/dogwoodpitch/src/caller/request.rs
+++ b/crates/dogwoodpitch/src/caller/request.rs
@@ -24,8 +24,13 @@
 
 /// Longest body of an answer.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
-/// Delay before a retry when the agent gives no hint.
+/// Delay before the first retry when the agent gives no hint. The delay doubles with each retry: with a constant delay,
+/// requests to an agent that had just begun to drain used up the budget within 150 ms.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest delay before a retry, unless the agent's hint is longer.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time between looks at a connection that has become suspect.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(20);
 /// Uploads give way to the short requests of the same connection.
 const UPLOAD_PRIORITY: i32 = -1;
 
@@ -80,9 +85,9 @@
 
 async fn attempts(session: &Inner, kind: Kind, work: &Work, progress: &Progress) -> Answer {
     session.budget.borrow_mut().record_request(Instant::now());
+    let mut delay = DEFAULT_RETRY_DELAY;
     loop {
-        let link = session.link().await;
-        progress.sent.set(false);
+        let link = ready(session).await;
         let (answer, retry_after) = match attempt(session, &link, kind, work, progress).await {
             Ended::NotSent => continue,
             Ended::Answered(reply, body) => {
@@ -93,7 +98,7 @@
                     detail: reply.detail,
                     attempts: progress.attempts.get(),
                 };
-                (answer, if hint.is_zero() { DEFAULT_RETRY_DELAY } else { hint })
+                (answer, hint.max(delay))
             }
             Ended::Lost(detail) => {
                 let answer = Answer {
@@ -105,7 +110,9 @@
                 (answer, Duration::ZERO)
             }
         };
+        // The request as a whole is only unknown as long as an attempt may be running.
         progress.sent.set(false);
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
         progress.unknown.set(progress.unknown.get() || answer.code.is_unknown());
         if !may_retry(answer.code, work.idempotent) {
             return answer;
@@ -127,6 +134,17 @@
     }
 }
 
+/// Waits for a connection that answers. Work that was sent on a dead connection would have an unknown outcome.
+async fn ready(session: &Inner) -> std::rc::Rc<Link> {
+    loop {
+        let link = session.link().await;
+        if !link.is_suspect(Instant::now()) {
+            return link;
+        }
+        time::sleep_until(Instant::now() + SUSPECT_INTERVAL).await;
+    }
+}
+
 /// Work that was not run may be sent again. Work that may have run is only sent again if it is idempotent.
 fn may_retry(code: Code, idempotent: bool) -> bool {
     match code {
@@ -154,6 +172,7 @@
         position: 0,
         length: Some(work.body.len() as u64),
     };
+    link.note_sent(Instant::now());
     progress.attempts.set(progress.attempts.get() + 1);
     progress.sent.set(true);
     let write = async {
--- a/crates/dogwoodpitch/src/caller/session.rs
+++ b/crates/dogwoodpitch/src/caller/session.rs
@@ -233,11 +233,7 @@
         }
         let number = self.connections.get() + 1;
         self.connections.set(number);
-        Ok(Link {
-            number,
-            connection,
-            abandoned: Cell::new(false),
-        })
+        Ok(Link::new(number, connection))
     }
 
     fn bind(&self) -> Result<(), String> {
