Split gossip and membership from the configuration sync

One file held store reads, announcements, digests and pulls.

The digests and pulls are in coordination/gossip.rs, the announcements in coordination/membership.rs. No behaviour changes; tests/sync.rs (8) and tests/store.rs (7) pass.

--- a/crates/dogwoodpitch/src/coordination/config.rs
+++ b/crates/dogwoodpitch/src/coordination/config.rs
@@ -2,103 +2,80 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     future::poll_fn,
-    net::{SocketAddr, SocketAddrV4},
+    net::SocketAddr,
     rc::Rc,
     task::{Poll, Waker},
     time::{Duration, Instant},
 };
 
-use rand::{RngExt, seq::IteratorRandom, seq::SliceRandom};
+use rand::RngExt;
 
 use crate::{
     coordination::store::{self, Error, Store},
     protocol::{
-        datagram::{Header, Kind},
-        peer::{Digest, Message},
+        peer::Digest,
         settings,
-        store::{Compare, HEAD, NODE, NODE_HEAD, Put, Range, Step, Txn},
+        store::{HEAD, NODE_HEAD, Range},
     },
     state::{
         absence::Absence,
         config::{Item, Snapshot},
         roster::{Node, Role},
     },
-    transport::{time, udp::Port, websocket::Link},
+    transport::{time, udp::Port},
 };
 
 /// Rate of head reads of all nodes together, in reads a second.
 const HEAD_READS_PER_S: f64 = 20.0;
 /// Shortest mean interval of head reads of one node.
-const MIN_HEAD_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const MIN_HEAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time for one call of a daemon to the store. With the longest interval of head reads it stays below the 5 s
 /// in which a change has to be in force after an outage.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Mean interval of complete reads of the announced names, which find the entries that have expired. A read is about
 /// 260 KB at the two-year size, which is 150 bytes a second.
 const ROSTER_INTERVAL: Duration = Duration::from_mins(30);
-/// Time that the store has for the first configuration before peers are asked too.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time to live of a node's announcement.
-const LEASE_TTL: Duration = Duration::from_mins(10);
-/// Interval of lease renewals: two renewals may fail before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_secs(200);
-/// Mean interval of digests to one random node.
-const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
-/// Nodes that get a digest of a new revision at once.
-const DIGEST_FANOUT: usize = 4;
-/// Shortest time between two rounds of digests, so that a burst of changes costs few rounds.
-const DIGEST_PAUSE: Duration = Duration::from_millis(100);
-/// The same after a change of the roster only: when a fleet starts, each node's announcement is such a change.
-const ROSTER_DIGEST_PAUSE: Duration = Duration::from_secs(1);
-/// Longest time for a pull.
-const PULL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Clock difference between nodes that an incremental pull of the roster tolerates, in deciseconds.
-const INCARNATION_MARGIN: u32 = 600;
-/// Lowest incarnation of a pull that needs no roster entries.
-const NO_NODES: u32 = u32::MAX;
-/// Pause after a pull of the whole roster that brought nothing new; it doubles up to the maximum. Entries that some
-/// nodes have already dropped would otherwise cause such pulls with each digest.
-const MIN_ROSTER_PAUSE: Duration = Duration::from_secs(1);
-const MAX_ROSTER_PAUSE: Duration = Duration::from_mins(10);
+/// Pause after a pull of the whole roster that brought something new.
+pub(super) const MIN_ROSTER_PAUSE: Duration = Duration::from_secs(1);
 
 /// Running synchronization of one node's configuration.
 #[derive(Debug, Clone)]
-pub struct Sync(Rc<Inner>);
+pub struct Sync(pub(super) Rc<Inner>);
 
 #[derive(Debug)]
-struct Inner {
+pub(super) struct Inner {
     snapshot: RefCell<Rc<Snapshot>>,
     wakers: RefCell<Vec<Waker>>,
     own: Node,
     source: Cell<Source>,
-    link: Option<Peers>,
+    pub(super) peers: Option<Peers>,
 }
 
 /// What a node needs to reach other nodes and the store.
 #[derive(Debug)]
-struct Peers {
-    port: Port,
-    key: [u8; 32],
-    seeds: Vec<SocketAddr>,
-    store: Store,
-    pulling: Cell<bool>,
+pub(super) struct Peers {
+    pub(super) port: Port,
+    pub(super) key: [u8; 32],
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) store: Store,
+    pub(super) pulling: Cell<bool>,
     /// Latest digest that arrived during a pull.
-    waiting: RefCell<Option<Digest>>,
-    roster_pause: Cell<Duration>,
-    roster_pull_after: Cell<Option<Instant>>,
-    pulled_bytes: Cell<u64>,
-    absence: RefCell<Absence>,
+    pub(super) waiting: RefCell<Option<Digest>>,
+    pub(super) roster_pause: Cell<Duration>,
+    pub(super) roster_pull_after: Cell<Option<Instant>>,
+    pub(super) pulled_bytes: Cell<u64>,
+    pub(super) absence: RefCell<Absence>,
     /// Outcome of the latest read of the store; `None` before the first.
-    store_reachable: Cell<Option<bool>>,
+    pub(super) store_reachable: Cell<Option<bool>>,
     /// Whether the store had an older revision at the latest read.
-    store_behind: Cell<bool>,
+    pub(super) store_behind: Cell<bool>,
 }
 
 /// Where the revision in force was obtained.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
+pub(super) enum Source {
     None,
     Store,
     Peer,
@@ -152,14 +129,14 @@
         Self::open(own, snapshot, None)
     }
 
-    fn open(own: Node, mut snapshot: Snapshot, link: Option<Peers>) -> Self {
+    fn open(own: Node, mut snapshot: Snapshot, peers: Option<Peers>) -> Self {
         snapshot.roster.insert(own.clone());
         Self(Rc::new(Inner {
             snapshot: RefCell::new(Rc::new(snapshot)),
             wakers: RefCell::default(),
             own,
             source: Cell::new(Source::None),
-            link,
+            peers,
         }))
     }
 
@@ -196,13 +173,13 @@
 
     /// Whether the latest read of the store succeeded.
     pub fn is_store_reachable(&self) -> bool {
-        let peers = self.0.link.as_ref();
+        let peers = self.0.peers.as_ref();
         peers.is_some_and(|peers| peers.store_reachable.get() == Some(true))
     }
 
     /// Bytes of HTTP calls to the store, of pulls, and of control frames.
     pub fn control_bytes(&self) -> u64 {
-        self.0.link.as_ref().map_or(0, |peers| {
+        self.0.peers.as_ref().map_or(0, |peers| {
             peers.port.control_bytes() + peers.store.bytes() + peers.pulled_bytes.get()
         })
     }
@@ -225,15 +202,15 @@
 
     /// Counts bytes of a link that carried configuration.
     pub(crate) fn count_link_bytes(&self, bytes: u64) {
-        if let Some(peers) = &self.0.link {
+        if let Some(peers) = &self.0.peers {
             peers.pulled_bytes.set(peers.pulled_bytes.get() + bytes);
         }
     }
 
     /// Merges a snapshot and returns whether anything changed.
-    fn merge(&self, mut other: Snapshot, source: Source) -> bool {
+    pub(super) fn merge(&self, mut other: Snapshot, source: Source) -> bool {
         let known = self.snapshot();
-        if let (Source::Peer, Some(peers)) = (source, &self.0.link) {
+        if let (Source::Peer, Some(peers)) = (source, &self.0.peers) {
             let absence = peers.absence.borrow();
             let dropped: Vec<_> = other.roster.iter().filter(|node| !absence.admits(node)).collect();
             let dropped: Vec<_> = dropped.into_iter().map(|node| node.name.clone()).collect();
@@ -262,7 +239,7 @@
         true
     }
 
-    fn replace(&self, snapshot: Snapshot) {
+    pub(super) fn replace(&self, snapshot: Snapshot) {
         #[expect(
             clippy::cast_precision_loss,
             reason = "revisions and node counts stay far below 2^52"
@@ -284,18 +261,10 @@
     newer.map(|(name, item)| (name.clone(), item.clone())).collect()
 }
 
-/// Lease of this node's announcement, 0 for none. Whether it still holds is only known from the store's answer to a
-/// renewal.
-#[derive(Debug, Clone, Copy)]
-struct Announced {
-    lease: u64,
-    renew_at: Instant,
-}
-
 /// The store.
 impl Sync {
     async fn follow_store(self) {
-        let Some(peers) = &self.0.link else { return };
+        let Some(peers) = &self.0.peers else { return };
         let mut nodes_revision = 0;
         let mut announced = None;
         let mut roster_at = Instant::now() + jittered(ROSTER_INTERVAL);
@@ -370,279 +339,9 @@
         *nodes_revision = revision;
         Ok(())
     }
-
-    /// Reads all announced names and drops the entries that have been missing for long.
-    async fn read_roster(&self, peers: &Peers) -> Result<(), Error> {
-        let range = Range {
-            keys_only: true,
-            ..Range::prefix_after(NODE, 0)
-        };
-        let reply = peers.store.range(&range, Instant::now() + READ_TIMEOUT).await?;
-        let names = reply.kvs.iter().filter_map(|entry| {
-            let key = std::str::from_utf8(&entry.key).ok()?;
-            key.strip_prefix(NODE).map(str::to_owned)
-        });
-        let mut listed: BTreeSet<_> = names.collect();
-        listed.insert(self.own().name.clone());
-        let known = self.snapshot();
-        let names = peers
-            .absence
-            .borrow_mut()
-            .observe(&known.roster, &listed, Instant::now());
-        if names.is_empty() {
-            return Ok(());
-        }
-        let mut snapshot = (*known).clone();
-        for name in names {
-            log::info!(event = "node.dropped", name = name.as_str(); "the entry of a node has expired");
-            snapshot.drop_node(&name);
-        }
-        self.replace(snapshot);
-        Ok(())
-    }
-
-    /// Writes this node's entry with a lease, or renews the lease when it is due.
-    async fn announce(&self, peers: &Peers, announced: Option<Announced>) -> Result<Option<Announced>, Error> {
-        let deadline = Instant::now() + READ_TIMEOUT;
-        if let Some(state) = announced {
-            if Instant::now() < state.renew_at {
-                return Ok(announced);
-            }
-            if state.lease != 0 && peers.store.keep_alive(state.lease, deadline).await?.ttl > 0 {
-                return Ok(Some(Announced {
-                    renew_at: Instant::now() + jittered(RENEW_INTERVAL),
-                    ..state
-                }));
-            }
-            log::warn!(event = "node.lease_expired", lease = state.lease; "this node's entry is not held by its lease");
-        }
-        let key = format!("{NODE}{}", self.own().name);
-        let current = peers.store.range(&Range::key(&key), deadline).await?.kvs.pop();
-        let other = current
-            .as_ref()
-            .and_then(|entry| serde_json::from_slice::<Node>(&entry.value).ok());
-        if other.is_some_and(|node| node.incarnation > self.own().incarnation) {
-            log::error!(event = "node.superseded"; "a newer process announced itself under this node's name");
-            return Ok(Some(Announced {
-                lease: 0,
-                renew_at: Instant::now() + jittered(RENEW_INTERVAL),
-            }));
-        }
-        let lease = peers.store.grant(LEASE_TTL, deadline).await?.id;
-        let value = serde_json::to_vec(self.own()).expect("a node has string keys");
-        let put = |key: String, value: Vec<u8>, lease| {
-            Step::Put(Put {
-                key: key.into(),
-                value: value.into(),
-                lease,
-            })
-        };
-        let txn = Txn {
-            compare: vec![Compare {
-                key: key.clone().into(),
-                mod_revision: current.map_or(0, |entry| entry.mod_revision),
-                ..Compare::default()
-            }],
-            success: vec![
-                put(key, value, lease),
-                put(NODE_HEAD.to_owned(), self.own().name.clone().into_bytes(), 0),
-            ],
-            failure: Vec::new(),
-        };
-        // If the reply is lost or the comparison fails, the next round reads the entry again and repeats the write.
-        if !peers.store.txn(&txn, deadline).await?.succeeded {
-            return Ok(None);
-        }
-        log::info!(event = "node.announced", lease = lease; "node announced");
-        Ok(Some(Announced {
-            lease,
-            renew_at: Instant::now() + jittered(RENEW_INTERVAL),
-        }))
-    }
-
-    /// Pulls from a random known node or seed until one has answered and there is a configuration or a store. This tells
-    /// the others about this node and, while the store is down, gives the configuration.
-    async fn introduce(self) {
-        let Some(peers) = &self.0.link else { return };
-        let first_read = Instant::now() + FIRST_READ_TIMEOUT;
-        let _ = time::before(first_read, self.changed(&self.snapshot())).await;
-        loop {
-            let mut addresses: Vec<_> = self.snapshot().peers(&self.own().name).collect();
-            addresses.extend(&peers.seeds);
-            addresses.retain(|address| *address != self.own().peer);
-            addresses.shuffle(&mut rand::rng());
-            // The store has given the roster; without it the whole roster comes from the peer.
-            let incarnation = if self.is_store_reachable() {
-                self.recent_incarnation()
-            } else {
-                0
-            };
-            let mut answered = false;
-            for address in addresses.into_iter().take(DIGEST_FANOUT) {
-                answered = answered || self.pull(peers, address, incarnation).await;
-            }
-            if answered && (self.snapshot().revision > 0 || self.is_store_reachable()) {
-                return;
-            }
-            time::sleep_until(Instant::now() + jittered(MIN_HEAD_INTERVAL)).await;
-        }
-    }
-}
-
-/// Gossip and pulls.
-impl Sync {
-    async fn gossip(self) {
-        let Some(peers) = &self.0.link else { return };
-        let mut known = self.snapshot();
-        loop {
-            let deadline = Instant::now() + jittered(DIGEST_INTERVAL);
-            if let Some(snapshot) = time::before(deadline, self.changed(&known)).await {
-                let only_roster = snapshot.revision == known.revision;
-                known = snapshot;
-                self.send_digests(peers, DIGEST_FANOUT);
-                time::sleep_until(Instant::now() + DIGEST_PAUSE).await;
-                if only_roster {
-                    let _ = time::before(Instant::now() + ROSTER_DIGEST_PAUSE, self.newer(known.revision)).await;
-                }
-            } else {
-                self.send_digests(peers, 1);
-            }
-        }
-    }
-
-    /// Waits for a revision above the given one.
-    async fn newer(&self, revision: u64) {
-        let mut current = self.snapshot();
-        while current.revision <= revision {
-            current = self.changed(&current).await;
-        }
-    }
-
-    fn send_digests(&self, peers: &Peers, count: usize) {
-        let snapshot = self.snapshot();
-        let others = snapshot.roster.iter().filter(|node| node.name != self.own().name);
-        for node in others.sample(&mut rand::rng(), count) {
-            self.send_digest(peers, node.datagram);
-        }
-        peers.port.flush();
-    }
-
-    fn send_digest(&self, peers: &Peers, to: SocketAddrV4) {
-        let snapshot = self.snapshot();
-        let digest = Digest {
-            node: self.own().name.clone(),
-            revision: snapshot.revision,
-            nodes: u32::try_from(snapshot.roster.len()).unwrap_or(u32::MAX),
-            incarnation: newest(&snapshot),
-            peer: self.own().peer,
-        };
-        let mut payload = Vec::new();
-        ciborium::into_writer(&digest, &mut payload).expect("writing CBOR to memory does not fail");
-        peers.port.send(to, &Header::control(Kind::Digest), &payload);
-    }
-
-    /// Handles a `Digest` frame.
-    pub fn receive_digest(&self, from: SocketAddrV4, digest: &Digest) {
-        let Some(peers) = &self.0.link else { return };
-        if digest.node == self.own().name {
-            return;
-        }
-        if digest.revision < self.snapshot().revision {
-            self.send_digest(peers, from);
-            peers.port.flush();
-        }
-        if self.is_behind(peers, digest).is_none() {
-            return;
-        }
-        if peers.pulling.get() {
-            peers.waiting.replace(Some(digest.clone()));
-            return;
-        }
-        peers.pulling.set(true);
-        monoio::spawn(self.clone().catch_up(digest.clone()));
-    }
-
-    /// Pulls from the sender of a digest, and then from that of the latest digest that arrived meanwhile.
-    async fn catch_up(self, digest: Digest) {
-        let Some(peers) = &self.0.link else { return };
-        let mut next = Some(digest);
-        while let Some(digest) = next {
-            if let Some(incarnation) = self.is_behind(peers, &digest) {
-                let nodes = self.snapshot().roster.len();
-                self.pull(peers, digest.peer, incarnation).await;
-                if incarnation == 0 {
-                    let pause = if self.snapshot().roster.len() > nodes {
-                        MIN_ROSTER_PAUSE
-                    } else {
-                        (peers.roster_pause.get() * 2).min(MAX_ROSTER_PAUSE)
-                    };
-                    peers.roster_pause.set(pause);
-                    peers.roster_pull_after.set(Some(Instant::now() + pause));
-                }
-            }
-            next = peers.waiting.take();
-        }
-        peers.pulling.set(false);
-    }
-
-    /// Lowest incarnation to pull if the sender of a digest has something new.
-    fn is_behind(&self, peers: &Peers, digest: &Digest) -> Option<u32> {
-        let snapshot = self.snapshot();
-        let may_pull_roster = peers.roster_pull_after.get().is_none_or(|at| Instant::now() >= at);
-        if digest.nodes as usize > snapshot.roster.len() && may_pull_roster {
-            return Some(0);
-        }
-        if digest.incarnation > newest(&snapshot) {
-            return Some(self.recent_incarnation());
-        }
-        (digest.revision > snapshot.revision).then_some(NO_NODES)
-    }
-
-    /// Lowest incarnation of the nodes that may have started after the newest known one, as clocks differ.
-    fn recent_incarnation(&self) -> u32 {
-        newest(&self.snapshot()).saturating_sub(INCARNATION_MARGIN).max(1)
-    }
-
-    /// Asks a node for what is new. Returns whether it answered.
-    async fn pull(&self, peers: &Peers, address: SocketAddr, incarnation: u32) -> bool {
-        let deadline = Instant::now() + PULL_TIMEOUT;
-        let exchange = async {
-            let mut link = Link::connect(address, &peers.key, &self.own().name, deadline).await?;
-            let pull = Message::Pull {
-                revision: self.snapshot().revision,
-                incarnation,
-                node: Box::new(self.own().clone()),
-            };
-            link.send(&pull).await?;
-            link.recv::<Message>().await
-        };
-        match time::before(deadline, Box::pin(exchange)).await {
-            Some(Ok(message @ Message::Snapshot(_))) => {
-                self.count_link_bytes(message_len(&message));
-                if let Message::Snapshot(snapshot) = message {
-                    self.merge(*snapshot, Source::Peer);
-                }
-                return true;
-            }
-            Some(Ok(_)) => log::warn!(event = "pull.unexpected", peer:% = address; "unexpected answer to a pull"),
-            Some(Err(error)) => log::debug!(event = "pull.failed", peer:% = address, error:% = error; "pull failed"),
-            None => log::debug!(event = "pull.timeout", peer:% = address; "pull timed out"),
-        }
-        false
-    }
-}
-
-fn newest(snapshot: &Snapshot) -> u32 {
-    snapshot.roster.iter().map(|node| node.incarnation).max().unwrap_or(0)
-}
-
-/// Encoded length of a message.
-pub(crate) fn message_len(message: &Message) -> u64 {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes).expect("writing CBOR to memory does not fail");
-    bytes.len() as u64
 }
 
-fn jittered(mean: Duration) -> Duration {
+/// Pause around a mean, so that nodes do not act in step.
+pub(super) fn jittered(mean: Duration) -> Duration {
     mean.mul_f64(rand::rng().random_range(0.5..1.5))
 }
--- a/crates/dogwoodpitch/src/coordination/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/mod.rs
@@ -4,6 +4,8 @@
 pub mod change;
 pub mod config;
 pub mod exchange;
+mod gossip;
+mod membership;
 pub mod peer;
 pub mod status;
 pub mod store;
--- a/crates/dogwoodpitch/src/coordination/peer.rs
+++ b/crates/dogwoodpitch/src/coordination/peer.rs
@@ -10,7 +10,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::{
-    coordination::config::{Sync, message_len},
+    coordination::{config::Sync, gossip::message_len},
     protocol::peer::Message,
     state::{config::Snapshot, roster::Roster},
     transport::{time, websocket::Link},
