--- a/crates/dogwoodpitch/src/state/admission.rs
+++ b/crates/dogwoodpitch/src/state/admission.rs
@@ -27,9 +27,20 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest hint for a retry: the queue changes too fast for a longer forecast.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Time over which the demand of short work is averaged.
+const DEMAND_MEMORY: Duration = Duration::from_secs(2);
+/// Standard deviations of the number of concurrent short requests that long work leaves free. The number varies as in a
+/// Poisson process. With as many uploads as fit, the p99 of short requests of 10 to 30 ms was 30 ms without uploads,
+/// 78 ms with 0 deviations, 41 ms with 1 and 34 ms with 1.5 (7 slots, half loaded).
+const BURST: f64 = 1.5;
 /// Weight of a sample in the mean time of a class.
 const WEIGHT: f64 = 0.1;
 
+/// Deviations beyond the mean time that work must be able to run before its deadline. Earliest deadline first starts
+/// work at the last moment when the queue is long. At twice the capacity with exponential times, the goodput was 0.85
+/// with one deviation and 0.96 with four.
+const DEVIATIONS: u32 = 4;
+
 new_key_type! {
     /// Work that waits for a slot or has one.
     pub struct Ticket;
@@ -100,6 +111,10 @@
     classes: Classes,
     pace_short: Option<f64>,
     pace_long: Option<f64>,
+    /// Slots that short work asks for, as a mean over the recent past.
+    demand: f64,
+    slot_time: Duration,
+    accounted: Option<Instant>,
     next_sequence: u64,
 }
 
@@ -157,12 +172,16 @@
             classes: Classes::default(),
             pace_short: None,
             pace_long: None,
+            demand: 0.0,
+            slot_time: Duration::ZERO,
+            accounted: None,
             next_sequence: 0,
         }
     }
 
     /// Takes a slot only if that delays no other work.
     pub fn try_start(&mut self, work: Work, now: Instant) -> Option<Ticket> {
+        self.account(now);
         let estimate = self.estimate(&work);
         let queue_is_empty = self.short.len == 0 && (!estimate.long || self.long.len == 0);
         if self.draining || work.deadline <= now || !queue_is_empty || !self.has_slot(estimate.long, now) {
@@ -188,6 +207,7 @@
                 retry_after: Duration::ZERO,
             });
         }
+        self.account(now);
         let estimate = self.estimate(&work);
         let entry = self.entry(work, estimate, now);
         if self.short.len + self.long.len >= MAX_WAITING {
@@ -216,6 +236,7 @@
 
     /// Gives free slots to waiting work and drops work that can no longer start in time.
     pub fn advance(&mut self, now: Instant) -> Changes {
+        self.account(now);
         let mut changes = Changes::default();
         let entries = &mut self.entries;
         self.running.retain(|&ticket| {
@@ -260,6 +281,7 @@
 
     /// Frees the place or the slot of work whose caller has left. Returns whether a slot became free.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> bool {
+        self.account(now);
         if self.remove_waiting(ticket).is_some() {
             return false;
         }
@@ -282,6 +304,7 @@
         let Some(State::Running { since }) = self.entries.get(ticket).map(|entry| entry.state) else {
             return None;
         };
+        self.account(now);
         let time = now.saturating_duration_since(since);
         let expected = self.entries[ticket].estimate.time;
         if error && time < expected && self.order == Order::Class {
@@ -349,9 +372,38 @@
         self.short.len + self.long.len
     }
 
-    /// Most slots that long work may occupy.
+    /// Most slots that long work may occupy now: all but 2, or fewer while short work needs more. Long work keeps its
+    /// slot for many times the length of a short request, so the slots that a burst of requests needs must stay free.
     pub fn long_limit(&self) -> u16 {
-        long_limit(self.slots)
+        let for_short = (self.demand + BURST * self.demand.sqrt()).round();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the demand is between 0 and the number of slots"
+        )]
+        let for_short = for_short.clamp(0.0, f64::from(self.slots)) as u16;
+        long_limit(self.slots).min(self.slots - for_short).max(1)
+    }
+
+    /// Time that all slots together have been busy, with those that fast errors keep busy.
+    pub fn slot_time(&mut self, now: Instant) -> Duration {
+        self.account(now);
+        self.slot_time
+    }
+
+    /// Accounts for the time since the last change. To be called before each change.
+    fn account(&mut self, now: Instant) {
+        let since = self.accounted.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since);
+        self.slot_time += elapsed * u32::from(self.busy());
+        let running = self
+            .running
+            .iter()
+            .filter(|&&ticket| !self.entries[ticket].estimate.long);
+        let wanted = (running.count() + self.short.len).min(usize::from(self.slots));
+        let wanted = f64::from(u16::try_from(wanted).unwrap_or(self.slots));
+        let weight = 1.0 - (-elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64()).exp();
+        self.demand += weight * (wanted - self.demand);
     }
 
     /// Whether work of this key and length is expected to be long.
@@ -373,7 +425,7 @@
                 // At most half of the time left is kept for running: a wrong estimate must not refuse work for ever.
                 let time_left = work.deadline.saturating_duration_since(now);
                 let reserve = if estimate.learned {
-                    (estimate.time + estimate.deviation).min(time_left / 2)
+                    (estimate.time + DEVIATIONS * estimate.deviation).min(time_left / 2)
                 } else {
                     Duration::ZERO
                 };
