--- a/crates/dogwoodpitchctl/src/fleet.rs
+++ b/crates/dogwoodpitchctl/src/fleet.rs
@@ -111,9 +111,10 @@
         let open = open(&roster, &done, &silent);
         if open.is_empty() && !done.is_empty() {
             let unreachable: Vec<_> = silent.into_keys().collect();
+            let none = if unreachable.is_empty() { "none" } else { "" };
             return Ok(Output {
                 text: format!(
-                    "revision {revision} is in force on {} nodes; unreachable: {}\n",
+                    "revision {revision} is in force on {} nodes; unreachable: {none}{}\n",
                     done.len(),
                     unreachable.join(",")
                 ),
