--- a/crates/dogwoodpitch/src/balancer/forward.rs
+++ b/crates/dogwoodpitch/src/balancer/forward.rs
@@ -163,6 +163,14 @@
         self.meter.refusals[reason as usize].count.get()
     }
 
+    /// Numbers of dropped packets by reason, without the reasons that did not occur.
+    pub fn drops(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let counts = Refusal::ALL
+            .into_iter()
+            .map(|reason| (reason.as_str(), self.dropped(reason)));
+        counts.filter(|(_, count)| *count > 0)
+    }
+
     /// Number of suspected agents.
     pub fn suspected(&self) -> usize {
         self.watch.borrow().suspected()
@@ -197,7 +205,8 @@
                 Kind::Return => self.returned(from, &header, payload),
                 Kind::Probe => {
                     self.heard(from);
-                    if !self.draining.get() {
+                    // Agents return packets through balancers that answer probes.
+                    if !self.draining.get() && self.fabric.get().is_some() {
                         self.port.send(from, &Header::control(Kind::ProbeReply), payload);
                     }
                     Ok(())
--- a/crates/dogwoodpitch/src/balancer/mod.rs
+++ b/crates/dogwoodpitch/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeMap,
     fmt::Display,
     io,
     rc::Rc,
@@ -50,7 +51,8 @@
         move || {
             serde_json::json!({
                 "suspected_agents": forwarder.suspected(),
-                "control_bytes": port.control_bytes(),
+                "dropped": forwarder.drops().collect::<BTreeMap<_, _>>(),
+                "frame_control_bytes": port.control_bytes(),
             })
         }
     };
--- a/crates/dogwoodpitch/tests/forward.rs
+++ b/crates/dogwoodpitch/tests/forward.rs
@@ -34,6 +34,10 @@
     epoch: 1,
     secret: [9; 16],
 };
+const FORMER_CID_KEY: cid::Key = cid::Key {
+    epoch: 0,
+    secret: [8; 16],
+};
 const CALLER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 4433);
 const ORDER_BOARD: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 443);
 const INTAKE_DESK: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 2), 443);
@@ -72,7 +76,7 @@
     fn open() -> Self {
         let ingress = Socket::bind(ANY).expect("bind");
         let port = Port::bind(ANY, FRAME_KEY).expect("bind");
-        let codec = Codec::new(&[CID_KEY]);
+        let codec = Codec::new(&[CID_KEY, FORMER_CID_KEY]);
         Self {
             ingress: ingress.local(),
             port: port.local(),
@@ -131,13 +135,16 @@
         bench
     }
 
-    fn id(&self, service: u16, agent: usize) -> Vec<u8> {
-        let target = Target {
+    fn target(&self, service: u16, agent: usize, incarnation: u32) -> Target {
+        Target {
             service: Id(service),
             agent: self.agents[agent].1,
-            incarnation: 1,
-        };
-        self.codec.seal(&target, [1, 2, 3]).to_vec()
+            incarnation,
+        }
+    }
+
+    fn id(&self, service: u16, agent: usize) -> Vec<u8> {
+        self.codec.seal(&self.target(service, agent, 1), [1, 2, 3]).to_vec()
     }
 
     async fn ingress(&self, datagram: &[u8]) {
@@ -202,8 +209,17 @@
             id
         };
         let foreign = [0xaa; 20];
+        let former = Codec::new(&[FORMER_CID_KEY]).seal(&bench.target(1, 0, 1), [1, 2, 3]);
+        let stale = bench.codec.seal(&bench.target(1, 0, 0), [1, 2, 3]);
         let cases = [
             ("established", ORDER_BOARD, short(&own), Ok(0)),
+            (
+                "older incarnation, which the agent judges",
+                ORDER_BOARD,
+                short(&stale),
+                Ok(0),
+            ),
+            ("former epoch during a key change", ORDER_BOARD, short(&former), Ok(0)),
             ("handshake", ORDER_BOARD, long(2, 1, &own), Ok(0)),
             ("after a retry", ORDER_BOARD, long(0, 1, &bench.id(1, 2)), Ok(2)),
             ("other service", INTAKE_DESK, short(&bench.id(2, 1)), Ok(1)),
@@ -221,7 +237,13 @@
                 long(0, 1, &foreign),
                 Err(Refusal::NoService),
             ),
-            ("unknown epoch", ORDER_BOARD, short(&flip(0)), Err(Refusal::ForeignId)),
+            ("other epoch", ORDER_BOARD, short(&flip(0)), Err(Refusal::ForeignId)),
+            (
+                "unknown epoch",
+                ORDER_BOARD,
+                short(&[&[2], &own[1..]].concat()),
+                Err(Refusal::ForeignId),
+            ),
             ("changed nonce", ORDER_BOARD, short(&flip(2)), Err(Refusal::ForeignId)),
             ("changed block", ORDER_BOARD, short(&flip(19)), Err(Refusal::ForeignId)),
             (
@@ -302,6 +324,8 @@
             .frame(0, &header(ORDER_BOARD), b"before any fabric is known")
             .await;
         assert_eq!(bench.returned(), None);
+        bench.frame(0, &Header::control(Kind::Probe), b"too early").await;
+        assert_eq!(bench.delivered(), []);
         bench.ingress(&proxy::LOCAL).await;
         bench.frame(0, &header(ORDER_BOARD), b"answer").await;
         let route = proxy::Header {
@@ -315,6 +339,15 @@
         bench.frame(1, &Header::control(Kind::Probe), b"payload").await;
         let reply = Header::control(Kind::ProbeReply);
         assert_eq!(bench.delivered(), [(1, reply, b"payload".to_vec())]);
+        bench.forwarder.drain();
+        bench.frame(1, &Header::control(Kind::Probe), b"payload").await;
+        assert_eq!(
+            bench.delivered(),
+            [],
+            "a draining balancer is no choice for returned packets"
+        );
+        bench.frame(0, &header(ORDER_BOARD), b"late answer").await;
+        assert!(bench.returned().is_some(), "a draining balancer still forwards");
     });
 }
 
