Measure the memory of both flow counts in one run

Two runs differed by 468 to 700 KiB, which came from the order of the runs and not from flows, and the second run did not reach all 300,000 flows. Both figures now come from the same threads and sockets, after each flow has sent packets.

--- a/crates/dogwoodpitch-lab/src/forward.rs
+++ b/crates/dogwoodpitch-lab/src/forward.rs
@@ -10,7 +10,7 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         mpsc,
     },
     thread,
@@ -61,6 +61,8 @@
 const STALL: Duration = Duration::from_millis(20);
 /// Flows of the smaller memory measurement.
 const FEW_FLOWS: u32 = 1000;
+/// Longest phase of a run.
+const MAX_PHASE: Duration = Duration::from_mins(1);
 /// Pairs of throughput measurements. Other work on the machine disturbs single ones, so the median counts.
 const ROUNDS: u32 = 11;
 /// Packets a second while the delay is measured; far below saturation.
@@ -101,7 +103,8 @@
     /// Share of a core that the worker used. The worker is the slowest part only if this is near 1.
     busy: f64,
     delays: Histogram<u64>,
-    rss_kib: u64,
+    /// Resident memory at the end of each phase.
+    rss_kib: Vec<u64>,
 }
 
 impl Run {
@@ -136,24 +139,17 @@
 }
 
 fn measure(seconds: u32, flows: u32) -> io::Result<()> {
-    // Two throughput runs a round, two memory runs, one direct run and three delay runs.
+    // Two throughput runs a round, two phases of the memory run, one direct run and three delay runs.
     let time = Duration::from_secs(seconds.into()) / (2 * ROUNDS + 6);
-    let few = run_path(Path::Balancer, Load::Saturating, FEW_FLOWS, time)?;
-    let many = run_path(Path::Balancer, Load::Saturating, flows, time)?;
-    println!(
-        "flows {FEW_FLOWS}: {:.0} packets/s, {} KiB",
-        few.packets_per_s, few.rss_kib
-    );
-    println!(
-        "flows {flows}: {:.0} packets/s, {} KiB",
-        many.packets_per_s, many.rss_kib
-    );
-    let direct = run_path(Path::Direct, Load::Saturating, flows, time)?;
+    // Both figures come from one run of the same threads and sockets, so that their difference is due to the flows.
+    let memory = run_path(Path::Balancer, Load::Saturating, &[FEW_FLOWS, flows], time)?.rss_kib;
+    println!("{FEW_FLOWS} flows: {} KiB, {flows} flows: {} KiB", memory[0], memory[1]);
+    let direct = run_path(Path::Direct, Load::Saturating, &[flows], time)?;
     println!("direct: {:.0} packets/s", direct.packets_per_s);
     let mut rounds = Vec::new();
     for round in 1..=ROUNDS {
-        let bare = run_path(Path::Bare, Load::Saturating, flows, time)?;
-        let balancer = run_path(Path::Balancer, Load::Saturating, flows, time)?;
+        let bare = run_path(Path::Bare, Load::Saturating, &[flows], time)?;
+        let balancer = run_path(Path::Balancer, Load::Saturating, &[flows], time)?;
         println!(
             "round {round}: bare {:.0} packets/s with {:.2} of a core, balancer {:.0} packets/s with {:.2} of a core",
             bare.packets_per_s, bare.busy, balancer.packets_per_s, balancer.busy
@@ -166,7 +162,7 @@
         values[values.len() / 2]
     };
     let micros = |path| -> io::Result<[f64; 2]> {
-        let delays = run_path(path, Load::Paced, flows, time)?.delays;
+        let delays = run_path(path, Load::Paced, &[flows], time)?.delays;
         let quantile = |q| Duration::from_nanos(delays.value_at_quantile(q)).as_secs_f64() * 1e6;
         let quantiles = [quantile(0.5), quantile(0.99)];
         println!("{path:?}: delay p50 {:.1} us, p99 {:.1} us", quantiles[0], quantiles[1]);
@@ -184,8 +180,8 @@
         "added_p99_us": balancer[1] - direct[1],
         "bare_added_p50_us": bare[0] - direct[0],
         "bare_added_p99_us": bare[1] - direct[1],
-        "rss_1k_flows_kib": few.rss_kib,
-        "rss_300k_flows_kib": many.rss_kib,
+        "rss_1k_flows_kib": memory[0],
+        "rss_300k_flows_kib": memory[1],
         "flows": flows,
     });
     println!("{result}");
@@ -197,8 +193,8 @@
     Ok(ClockId::CLOCK_THREAD_CPUTIME_ID.now()?.into())
 }
 
-/// Runs packets through a path for a time.
-fn run_path(path: Path, load: Load, flows: u32, time: Duration) -> io::Result<Run> {
+/// Runs packets through a path, for a time with each number of flows. The rate is that of the last phase.
+fn run_path(path: Path, load: Load, phases: &[u32], time: Duration) -> io::Result<Run> {
     let sink = bind()?;
     sink.set_read_timeout(Some(STALL))?;
     let sink_address = address(&sink)?;
@@ -226,6 +222,7 @@
         thread::spawn(move || drain(&sink, start, &received, &stop))
     };
     let sent = Arc::new(AtomicU64::new(0));
+    let flows = Arc::new(AtomicU32::new(phases[0]));
     let generators = if matches!(load, Load::Paced) { 1 } else { GENERATORS };
     let generators: Vec<_> = (0..generators)
         .map(|index| {
@@ -233,22 +230,35 @@
                 codec: Codec::new(&[CID_KEY]),
                 agent: sink_address,
                 with_header: path == Path::Balancer,
-                flows,
-                next: flows / generators * index,
+                flows: Arc::clone(&flows),
+                next: index,
+                step: generators,
             };
             let (stop, received, sent) = (Arc::clone(&stop), Arc::clone(&received), Arc::clone(&sent));
             thread::spawn(move || generate(flow, to, load, start, &sent, &received, &stop))
         })
         .collect();
 
-    // The first tenth warms up caches and queues.
-    let warm_up = time / 10;
-    thread::sleep(warm_up);
-    let (begin, before) = (Instant::now(), received.load(Ordering::Relaxed));
-    thread::sleep(time.saturating_sub(warm_up));
-    let count = received.load(Ordering::Relaxed) - before;
-    let elapsed = begin.elapsed();
-    let rss_kib = resident_kib()?;
+    let mut rss_kib = Vec::new();
+    let mut packets_per_s = 0.0;
+    for &phase in phases {
+        flows.store(phase, Ordering::Relaxed);
+        // The first tenth warms up caches and queues.
+        let warm_up = time / 10;
+        thread::sleep(warm_up);
+        let (begin, before) = (Instant::now(), received.load(Ordering::Relaxed));
+        thread::sleep(time.saturating_sub(warm_up));
+        // A memory figure counts only after each flow has sent a packet.
+        while phases.len() > 1 && received.load(Ordering::Relaxed) - before < u64::from(phase) * 2 {
+            if begin.elapsed() > MAX_PHASE {
+                return Err(io::Error::other("the path does not forward"));
+            }
+            thread::sleep(STALL);
+        }
+        let count = received.load(Ordering::Relaxed) - before;
+        packets_per_s = f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / begin.elapsed().as_secs_f64();
+        rss_kib.push(resident_kib()?);
+    }
     stop.store(true, Ordering::Relaxed);
 
     for generator in generators {
@@ -260,7 +270,7 @@
         None => Duration::ZERO,
     };
     Ok(Run {
-        packets_per_s: f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / elapsed.as_secs_f64(),
+        packets_per_s,
         busy: busy.as_secs_f64() / start.elapsed().as_secs_f64(),
         delays,
         rss_kib,
@@ -298,15 +308,17 @@
     codec: Codec,
     agent: SocketAddrV4,
     with_header: bool,
-    flows: u32,
+    flows: Arc<AtomicU32>,
     next: u32,
+    /// Number of generators, which take the flows in turn.
+    step: u32,
 }
 
 impl Flow {
     /// Writes the next packet with its time in nanoseconds at the end. Returns its length.
     fn write(&mut self, buffer: &mut [u8], nanos: u64) -> usize {
-        let flow = self.next;
-        self.next = (self.next + 1) % self.flows;
+        let flow = self.next % self.flows.load(Ordering::Relaxed);
+        self.next = flow + self.step;
         let [_, a, b, c] = flow.to_be_bytes();
         let mut at = 0;
         if self.with_header {
