--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -301,7 +301,8 @@
         let view = self.view();
         let node = view.peers.iter().find(|node| node.peer == peer);
         let name = node.map_or_else(|| peer.to_string(), |node| node.name.clone());
-        let offered = self.offer_link(peer, &name, service, caller, head, deadline).await;
+        // On the heap: the future holds a handshake, and those that await an offer hold it for the whole request.
+        let offered = Box::pin(self.offer_link(peer, &name, service, caller, head, deadline)).await;
         let (link, lease, message) = match offered {
             Ok(offered) => offered,
             Err(error) => {
--- a/crates/dogwoodpitch/tests/exchange.rs
+++ b/crates/dogwoodpitch/tests/exchange.rs
@@ -244,11 +244,11 @@
     let snapshot = snapshot(&nodes);
     let agents = nodes.into_iter().zip(ports);
     agents
-        .map(|(node, port)| spawn(node, port, &snapshot, policy))
+        .map(|(node, port)| spawn(&node, port, &snapshot, policy))
         .collect()
 }
 
-fn spawn(node: Node, port: Port, snapshot: &Snapshot, policy: Policy) -> Agent {
+fn spawn(node: &Node, port: Port, snapshot: &Snapshot, policy: Policy) -> Agent {
     let sync = Sync::open_fixed(node.clone(), snapshot.clone());
     let gate = Gate::open(2, 2_000, node.incarnation, policy);
     let exchange = Exchange::spawn(&sync, gate.clone(), port.clone(), KEY, policy);
@@ -428,7 +428,7 @@
         assert!(place().is_none(), "the refusal says that no slot is free");
         drop(first);
         until("the free slot is known", || place().is_some()).await;
-        let both = join_all([offer(a, b), offer(a, b)]).await;
+        let both = join_all((0..2).map(|_| offer(a, b))).await;
         assert!(both.iter().any(Result::is_ok), "{both:?}");
     });
 }
