--- a/crates/dogwoodpitch/tests/fuzz/world.rs
+++ b/crates/dogwoodpitch/tests/fuzz/world.rs
@@ -553,7 +553,7 @@
             }
             let due = balancer.watch.check(self.now);
             self.oracle.counts.suspicions += u32::try_from(due.suspicions.len()).unwrap();
-            for address in due.probes {
+            if let Some(address) = due.probe {
                 let agent = self.agents.iter().find(|agent| agent.node.datagram == address);
                 if agent.is_some_and(|agent| agent.up && !agent.frozen) {
                     balancer.watch.heard(address);
