Add tests of the agent and notice cancelled calls while a body is blocked

The tests run an agent between a small balancer and a small backend server: answers and codes, misrouted packets, return path, cancelled uploads, abandoned offers, drain and stop. An agent noticed that a caller had left only at the next part of the body, so a backend server that did not read kept the slot; the write of a part now waits for both.

--- a/crates/dogwoodpitch/src/agent/flow.rs
+++ b/crates/dogwoodpitch/src/agent/flow.rs
@@ -36,6 +36,11 @@
 const MAX_PACKET: u16 = 1400;
 /// Silence after which a connection is dropped. Callers send keepalives every 500 ms.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
+/// Later packets whose receipt makes an earlier one count as lost. The fabric sprays packets over balancers, so they
+/// overtake each other.
+const PACKET_THRESHOLD: u32 = 64;
+/// Round-trip times after which a packet counts as lost when a later one was received.
+const TIME_THRESHOLD: f32 = 2.0;
 /// Streams that a caller may have open on a connection.
 const MAX_STREAMS: u32 = 256;
 /// Unread bytes of one stream, which bounds what a waiting upload holds in memory.
@@ -235,6 +240,8 @@
     discovery.upper_bound(MAX_PACKET);
     transport
         .mtu_discovery_config(Some(discovery))
+        .packet_threshold(PACKET_THRESHOLD)
+        .time_threshold(TIME_THRESHOLD)
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
--- a/crates/dogwoodpitch/src/agent/mod.rs
+++ b/crates/dogwoodpitch/src/agent/mod.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::Cell,
     collections::HashMap,
+    fmt,
     future::poll_fn,
     io,
     rc::Rc,
@@ -50,7 +51,7 @@
 /// How long a stopping agent stays at least, to send new flows elsewhere until the others know that it drains.
 const LINGER: Duration = Duration::from_secs(3);
 
-/// A running agent.
+/// State of a running agent.
 pub(crate) struct Agent {
     settings: settings::Agent,
     incarnation: u32,
@@ -132,52 +133,87 @@
 /// Runs an agent until SIGTERM and the end of its graceful stop.
 pub async fn run(settings: settings::Agent) -> io::Result<()> {
     let termination = Termination::open()?;
-    let recorder = Recorder::open();
-    let incarnation = time::incarnation();
     let node = &settings.node;
-    let port = Port::bind(node.datagram, node.keys.frame())?;
-    let sync = Sync::spawn(node, Role::Agent, incarnation, port.clone());
-    let backend = &settings.backend;
-    let gate = Gate::open(backend.slots, backend.connections, incarnation, settings.policy);
-    let cluster = node.keys.cluster.0;
-    let exchange = Exchange::spawn(&sync, gate.clone(), port.clone(), cluster, settings.policy);
-    let agent = Rc::new(Agent {
-        incarnation,
-        codec: node.keys.codec(),
-        sync: sync.clone(),
-        gate,
-        exchange,
-        port,
-        flush: Flush::default(),
-        balancers: path::Balancers::default(),
-        backend: backend::Backend::new(backend.address),
-        flows: flow::Flows::default(),
-        stopping: Cell::default(),
-        running: Cell::default(),
-        offering: Cell::default(),
-        settings,
-    });
-    let draining = status::Draining::default();
-    status::serve(&sync, recorder, Rc::clone(&draining), status_members(&agent))?;
-    let host = Rc::clone(&agent);
-    peer::listen(&sync, cluster, move |link, message| {
-        handover::serve(Rc::clone(&host), link, message)
-    })?;
-    monoio::spawn(follow_config(Rc::clone(&agent)));
-    monoio::spawn(receive(Rc::clone(&agent)));
-    monoio::spawn(flush(Rc::clone(&agent)));
-    monoio::spawn(poll_backend(Rc::clone(&agent)));
-    monoio::spawn(probe(Rc::clone(&agent)));
-    monoio::spawn(tick(Rc::clone(&agent), draining));
-    log::info!(
-        event = "agent.started", node = agent.settings.node.name, incarnation = incarnation,
-        datagram:% = agent.settings.node.datagram, backend:% = agent.settings.backend.address; "agent started"
-    );
+    let port = Port::bind(node.datagram, node.keys.frame()).map_err(context("node.datagram", node.datagram))?;
+    let sync = Sync::spawn(node, Role::Agent, time::incarnation(), port.clone());
+    let running = Handle::open(settings, &sync, port)?;
     termination.requested().await;
-    stop(&agent).await;
+    running.stop().await;
     Ok(())
 }
 
+fn context<A: fmt::Display>(field: &'static str, address: A) -> impl Fn(io::Error) -> io::Error {
+    move |error| io::Error::new(error.kind(), format!("field `{field}`: bind {address}: {error}"))
+}
+
+/// A running agent.
+#[derive(Clone)]
+pub struct Handle(Rc<Agent>);
+
+impl fmt::Debug for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Handle").field(&self.0.settings.node.name).finish()
+    }
+}
+
+impl Handle {
+    /// Opens an agent with a configuration and a port that are already running.
+    pub fn open(settings: settings::Agent, sync: &Sync, port: Port) -> io::Result<Self> {
+        let incarnation = sync.own().incarnation;
+        let backend = &settings.backend;
+        let gate = Gate::open(backend.slots, backend.connections, incarnation, settings.policy);
+        let cluster = settings.node.keys.cluster.0;
+        let exchange = Exchange::spawn(sync, gate.clone(), port.clone(), cluster, settings.policy);
+        let agent = Rc::new(Agent {
+            incarnation,
+            codec: settings.node.keys.codec(),
+            sync: sync.clone(),
+            gate,
+            exchange,
+            port,
+            flush: Flush::default(),
+            balancers: path::Balancers::default(),
+            backend: backend::Backend::new(backend.address),
+            flows: flow::Flows::default(),
+            stopping: Cell::default(),
+            running: Cell::default(),
+            offering: Cell::default(),
+            settings,
+        });
+        let node = &agent.settings.node;
+        let draining = status::Draining::default();
+        status::serve(sync, Recorder::open(), Rc::clone(&draining), status_members(&agent))
+            .map_err(context("node.http", node.http))?;
+        let host = Rc::clone(&agent);
+        peer::listen(sync, cluster, move |link, message| {
+            handover::serve(Rc::clone(&host), link, message)
+        })
+        .map_err(context("node.peer", node.peer))?;
+        monoio::spawn(follow_config(Rc::clone(&agent)));
+        monoio::spawn(receive(Rc::clone(&agent)));
+        monoio::spawn(flush(Rc::clone(&agent)));
+        monoio::spawn(poll_backend(Rc::clone(&agent)));
+        monoio::spawn(probe(Rc::clone(&agent)));
+        monoio::spawn(tick(Rc::clone(&agent), draining));
+        log::info!(
+            event = "agent.started", node = node.name, incarnation = incarnation, datagram:% = node.datagram,
+            backend:% = agent.settings.backend.address; "agent started"
+        );
+        Ok(Self(agent))
+    }
+
+    /// Stops gracefully: no new work, until the callers have left and running requests have ended, or until the stop
+    /// deadline.
+    pub async fn stop(self) {
+        stop(&self.0).await;
+    }
+
+    /// Connections that are not yet drained.
+    pub fn connections(&self) -> usize {
+        self.0.flows.connections()
+    }
+}
+
 /// Waits until the callers have left and running requests have ended, or until the stop deadline.
 async fn stop(agent: &Agent) {
     let now = Instant::now();
--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -298,9 +298,12 @@
         match wire.next().await {
             Input::Chunk(chunk) => {
                 *bytes += chunk.len() as u64;
-                if !upload.send(chunk).await {
+                // A backend server that does not read must not hide that the caller has left.
+                match select(pin!(upload.send(chunk)), pin!(wire.stopped())).await {
+                    Either::Left((true, _)) => {}
                     // The call has ended early; its result follows.
-                    return std::future::pending().await;
+                    Either::Left((false, _)) => return std::future::pending().await,
+                    Either::Right((cause, _)) => return cause,
                 }
             }
             Input::End => upload.finish(),
--- a/crates/dogwoodpitch/src/agent/wire.rs
+++ b/crates/dogwoodpitch/src/agent/wire.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Waits until the caller no longer wants the answer, without reading the body. On a link this is only seen by reading.
+    pub(super) async fn stopped(&mut self) -> String {
+        match self {
+            Self::Stream { sender, .. } => sender.stopped().await.to_string(),
+            Self::Link { .. } => std::future::pending().await,
+        }
+    }
+
     /// Waits for a cancellation before the body is read.
     pub(super) async fn cancelled(&mut self) -> String {
         match self {
--- /dev/null
+++ b/crates/dogwoodpitch/tests/agent.rs
@@ -0,0 +1,574 @@
+//! The agent's decisions, and an agent between a small balancer and a small backend server.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use dogwoodpitch::{
+    agent::{
+        Handle, backend,
+        flow::{self, Misroute, Sites},
+        path::Balancers,
+    },
+    caller::{Session, Settings, Work},
+    coordination::config::Sync,
+    protocol::{
+        cid::{Codec, Key, Target},
+        code::Code,
+        datagram::{self, Header},
+        peer::Message,
+        request::{Head, Id as RequestId, Kind},
+        settings::{self, Certificate, IdKey, Keys, Pem, Policy, Secret},
+    },
+    state::{
+        config::{Item, Snapshot},
+        label::Set,
+        roster::{Node, Role},
+        service::{Id, Service},
+    },
+    transport::{
+        http::{self, Payload},
+        quic::Relay,
+        time,
+        udp::Port,
+        websocket::Link,
+    },
+};
+use http_body_util::BodyExt;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+const SERVICE: &str = "order-board";
+const CLUSTER: [u8; 32] = [7; 32];
+const FRAME: datagram::Key = datagram::Key([8; 16]);
+const OTHER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 2);
+const OWN: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+
+fn run<F: Future<Output = ()> + 'static>(test: F) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        time::before(Instant::now() + Duration::from_mins(1), test)
+            .await
+            .expect("the test ends in time");
+    });
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        time::sleep_until(Instant::now() + Duration::from_millis(10)).await;
+    }
+}
+
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+struct Two;
+
+impl Sites for Two {
+    fn address(&self, service: Id) -> Option<SocketAddrV4> {
+        [(Id(1), address(101)), (Id(2), address(102))]
+            .into_iter()
+            .find_map(|(id, address)| (id == service).then_some(address))
+    }
+
+    fn at(&self, at: SocketAddrV4) -> Option<Id> {
+        [Id(1), Id(2)].into_iter().find(|id| self.address(*id) == Some(at))
+    }
+}
+
+/// Guards against a packet of one service entering the endpoint of another, and against resets for a newer incarnation.
+#[test]
+fn misrouted_packets_are_dropped() {
+    let codec = Codec::new(&[Key {
+        epoch: 1,
+        secret: [3; 16],
+    }]);
+    let short = |service: u16, agent: SocketAddrV4, incarnation: u32| {
+        let target = Target {
+            service: Id(service),
+            agent,
+            incarnation,
+        };
+        let mut packet = vec![0x40];
+        packet.extend_from_slice(&codec.seal(&target, [1, 2, 3]));
+        packet.extend_from_slice(&[0; 30]);
+        packet
+    };
+    let long = |first: u8| {
+        let mut packet = vec![first, 0, 0, 0, 1, 8];
+        packet.extend_from_slice(&[9; 40]);
+        packet
+    };
+    let cases = [
+        (short(1, OWN, 50), 101, Ok(Id(1))),
+        (short(1, OWN, 49), 101, Ok(Id(1))),
+        (short(2, OWN, 50), 102, Ok(Id(2))),
+        (short(1, OWN, 50), 102, Err(Misroute::WrongService)),
+        (short(1, OWN, 50), 999, Err(Misroute::WrongService)),
+        (short(3, OWN, 50), 101, Err(Misroute::UnknownService)),
+        (short(1, OTHER, 50), 101, Err(Misroute::OtherAgent)),
+        (short(1, OWN, 51), 101, Err(Misroute::NewerIncarnation)),
+        (vec![0x40; 51], 101, Err(Misroute::Unknown)),
+        (vec![0x40, 1, 2], 101, Err(Misroute::Unknown)),
+        (Vec::new(), 101, Err(Misroute::Unknown)),
+        (long(0xc0), 101, Ok(Id(1))),
+        (long(0xc0), 999, Err(Misroute::UnknownService)),
+        (long(0xe0), 101, Err(Misroute::Unknown)),
+    ];
+    for (index, (packet, port, expected)) in cases.into_iter().enumerate() {
+        let routed = flow::route(&codec, (OWN, 50), &Two, address(port), &packet);
+        assert_eq!(routed, expected, "case {index}");
+    }
+}
+
+/// Guards against an answer that claims "not run" for a request that may have run.
+#[test]
+fn only_a_marked_refusal_is_not_run() {
+    let cases = [
+        (StatusCode::OK, false, Code::OK),
+        (StatusCode::CREATED, true, Code::OK),
+        (StatusCode::SERVICE_UNAVAILABLE, true, Code::REFUSED),
+        (StatusCode::SERVICE_UNAVAILABLE, false, Code::BACKEND_ERROR),
+        (StatusCode::INTERNAL_SERVER_ERROR, true, Code::BACKEND_ERROR),
+        (StatusCode::NOT_FOUND, false, Code::BACKEND_ERROR),
+    ];
+    for (status, marked, expected) in cases {
+        assert_eq!(backend::code(status, marked, false), expected, "{status} {marked}");
+    }
+    assert_eq!(
+        backend::code(StatusCode::SERVICE_UNAVAILABLE, true, true),
+        Code::DRAINING
+    );
+    let failure = |sent| backend::Failure {
+        sent,
+        detail: String::new(),
+    };
+    assert!(failure(false).reply().code.is_not_run());
+    assert!(failure(true).reply().code.is_unknown());
+}
+
+/// Guards against a flow that stays with a dead balancer, and against one that leaves a live one without need.
+#[test]
+fn silent_flows_rotate_over_live_balancers() {
+    let balancers = Balancers::default();
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    for port in 1..=3 {
+        balancers.hear(address(port), at(0));
+    }
+    let relay = Cell::new(Relay {
+        address: Some(address(2)),
+        received: Some(at(0)),
+        sent: None,
+    });
+    let choose = |ms| balancers.choose(&relay, at(ms)).map(|choice| choice.port());
+    // Acknowledged traffic and the first datagram after a pause keep the balancer.
+    assert_eq!(choose(10), Some(2));
+    assert_eq!(choose(200), Some(2));
+    // Silence after a datagram rotates.
+    assert_eq!([choose(300), choose(301), choose(302)], [Some(3), Some(1), Some(2)]);
+    // A received packet ends the rotation.
+    relay.set(Relay {
+        address: Some(address(1)),
+        received: Some(at(2000)),
+        sent: None,
+    });
+    assert_eq!(balancers.choose(&relay, at(2400)), Some(address(1)));
+    // A balancer that is silent itself is left at once, and a silent one is not chosen.
+    balancers.hear(address(3), at(2000));
+    assert_eq!(balancers.choose(&relay, at(2600)), Some(address(3)));
+    assert_eq!(balancers.choose(&relay, at(2601)), Some(address(3)));
+    assert_eq!(balancers.live(at(2600)), 1);
+    balancers.prune(at(9000));
+    // Without any live balancer the last one is the best guess.
+    assert_eq!(balancers.choose(&relay, at(9000)), Some(address(3)));
+    assert_eq!(balancers.choose(&Cell::default(), at(9000)), None);
+}
+
+/// What the backend server of a test has seen.
+#[derive(Default)]
+struct Seen {
+    started: RefCell<Vec<String>>,
+    /// Length of each body that arrived completely.
+    complete: RefCell<Vec<u64>>,
+    broken: Cell<usize>,
+    draining: Cell<bool>,
+    /// Bodies are not read on, and requests not answered, while this is set.
+    held: Cell<bool>,
+}
+
+/// Counts a broken body when it is dropped.
+struct Broken(Rc<Seen>);
+
+impl Drop for Broken {
+    fn drop(&mut self) {
+        self.0.broken.set(self.0.broken.get() + 1);
+    }
+}
+
+async fn answer(seen: Rc<Seen>, request: Request<Incoming>) -> Response<Payload> {
+    let path = request.uri().path().to_owned();
+    if path == "/health" {
+        let status = if seen.draining.get() { "draining" } else { "ok" };
+        return http::json(StatusCode::OK, &serde_json::json!({ "status": status }));
+    }
+    if request.method() == Method::GET {
+        let load = serde_json::json!({"slots_total": 2, "slots_busy": 0, "connections": 0});
+        return http::json(StatusCode::OK, &load);
+    }
+    seen.started.borrow_mut().push(path);
+    // The server drops this future when the connection breaks.
+    let broken = Broken(Rc::clone(&seen));
+    let mut body = request.into_body();
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return http::response(StatusCode::BAD_REQUEST, "text/plain", "broken body");
+        };
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        until(|| !seen.held.get()).await;
+    }
+    std::mem::forget(broken);
+    seen.complete.borrow_mut().push(bytes.len() as u64);
+    until(|| !seen.held.get()).await;
+    match &bytes[..] {
+        b"error" => http::response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "failed"),
+        b"refuse" => {
+            let mut response = http::response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no slot");
+            let headers = response.headers_mut();
+            headers.insert("x-not-run", HeaderValue::from_static("true"));
+            response
+        }
+        _ => http::response(StatusCode::OK, "text/plain", bytes),
+    }
+}
+
+/// An agent with its backend server and one balancer.
+struct Path {
+    agent: Handle,
+    seen: Rc<Seen>,
+    service: SocketAddrV4,
+    peer: SocketAddr,
+    roots: String,
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+fn free_udp() -> SocketAddrV4 {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    match socket.local_addr().expect("an address") {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => panic!("the socket is IPv4"),
+    }
+}
+
+impl Path {
+    fn open() -> Self {
+        let seen = Rc::new(Seen::default());
+        let backend = free_tcp();
+        let listener = monoio::net::TcpListener::bind(backend).expect("the backend server listens");
+        let record = Rc::clone(&seen);
+        monoio::spawn(http::serve(listener, move |_peer, request| {
+            answer(Rc::clone(&record), request)
+        }));
+        let certificate = rcgen::generate_simple_self_signed(vec![SERVICE.to_owned()]).expect("a certificate");
+        let service = free_udp();
+        let settings = settings::Agent {
+            node: settings::Node {
+                name: "agent".to_owned(),
+                data_centre: "rentis".to_owned(),
+                datagram: free_udp(),
+                peer: free_tcp(),
+                http: free_tcp(),
+                store: Vec::new(),
+                seeds: Vec::new(),
+                keys: Keys {
+                    connection_id: vec![IdKey {
+                        epoch: 1,
+                        secret: Secret([3; 16]),
+                    }],
+                    frame: Secret(FRAME.0),
+                    cluster: Secret(CLUSTER),
+                },
+                log: "info".to_owned(),
+                stop_timeout_ms: 20_000,
+            },
+            backend: settings::Backend {
+                address: backend,
+                slots: 2,
+                connections: 10,
+            },
+            certificates: vec![Certificate {
+                service: SERVICE.to_owned(),
+                certificate: certificate.cert.pem(),
+                key: Pem(certificate.signing_key.serialize_pem()),
+            }],
+            token: Secret([5; 32]),
+            reset: Secret([6; 32]),
+            policy: Policy::Product,
+        };
+        let node = &settings.node;
+        let own = Node {
+            name: node.name.clone(),
+            role: Role::Agent,
+            data_centre: node.data_centre.clone(),
+            datagram: node.datagram,
+            peer: node.peer,
+            http: node.http,
+            incarnation: 1,
+        };
+        let port = Port::bind(node.datagram, FRAME).expect("the agent's port");
+        let (datagram, peer) = (node.datagram, node.peer);
+        let sync = Sync::open_fixed(own, snapshot(service));
+        let agent = Handle::open(settings, &sync, port).expect("the agent opens");
+        forward(service, datagram);
+        Self {
+            agent,
+            seen,
+            service,
+            peer,
+            roots: certificate.cert.pem(),
+        }
+    }
+
+    fn session(&self) -> Session {
+        Session::open(Settings {
+            service: SERVICE.to_owned(),
+            address: self.service,
+            local: Ipv4Addr::LOCALHOST,
+            roots: self.roots.clone(),
+            keepalive_ms: 500,
+            silence_ms: 5_000,
+        })
+    }
+}
+
+fn snapshot(address: SocketAddrV4) -> Snapshot {
+    let mut snapshot = Snapshot {
+        revision: 1,
+        ..Snapshot::default()
+    };
+    let labels = Set([("service".to_owned(), SERVICE.to_owned())].into());
+    let selector = format!("service={SERVICE}").parse().expect("a valid selector");
+    let service = Service {
+        id: Id(1),
+        name: SERVICE.to_owned(),
+        address,
+    };
+    snapshot.services.insert(SERVICE.to_owned(), item(service));
+    snapshot.selectors.insert(SERVICE.to_owned(), item(selector));
+    snapshot.labels.insert("agent".to_owned(), item(labels));
+    snapshot
+}
+
+fn item<T>(value: T) -> Item<T> {
+    Item {
+        revision: 1,
+        value: Some(value),
+    }
+}
+
+/// A balancer without a fabric: packets to the service address go to the agent and back.
+fn forward(service: SocketAddrV4, agent: SocketAddrV4) {
+    let socket = UdpSocket::bind(service).expect("the service address");
+    socket.set_nonblocking(true).expect("a nonblocking socket");
+    let back = socket.try_clone().expect("a second handle");
+    let port = Port::bind(free_udp(), FRAME).expect("the balancer's port");
+    let output = port.clone();
+    monoio::spawn(async move {
+        let socket = monoio::net::udp::UdpSocket::from_std(socket).expect("a socket of the runtime");
+        let mut buffer = vec![0; 2048];
+        loop {
+            let (result, returned) = socket.recv_from(buffer).await;
+            buffer = returned;
+            let Ok((len, SocketAddr::V4(caller))) = result else {
+                continue;
+            };
+            let header = Header {
+                kind: datagram::Kind::Forward,
+                flags: 0,
+                service,
+                caller,
+            };
+            output.send(agent, &header, &buffer[..len]);
+            output.flush();
+        }
+    });
+    monoio::spawn(async move {
+        let handle = |_from, header: Header, payload: &[u8]| {
+            assert_eq!(header.kind, datagram::Kind::Return);
+            assert_eq!(header.service, service);
+            let _ = back.send_to(payload, header.caller);
+        };
+        while port.recv(handle).await.is_ok() {}
+    });
+}
+
+fn work(id: u8, body: impl Into<Bytes>) -> Work {
+    Work {
+        id: RequestId([id; 16]),
+        class: "reservation".to_owned(),
+        idempotent: false,
+        deadline: Instant::now() + Duration::from_secs(30),
+        body: body.into(),
+    }
+}
+
+/// Guards against lost or mixed answers, and against wrong result codes on the whole path through an agent.
+#[test]
+fn requests_and_uploads_get_their_answers() {
+    run(async {
+        let path = Path::open();
+        let session = path.session();
+        let answer = session.request(work(1, "hello")).await;
+        assert_eq!((answer.code, &answer.body[..]), (Code::OK, &b"hello"[..]));
+        let answer = session.request(work(2, "error")).await;
+        assert_eq!((answer.code, &answer.body[..]), (Code::BACKEND_ERROR, &b"failed"[..]));
+        let body: Vec<u8> = (0..3_000_000_u32).map(|at| at.to_le_bytes()[1]).collect();
+        let answer = session.upload(work(3, body.clone())).await;
+        assert_eq!(answer.code, Code::OK);
+        assert!(answer.body == body, "the upload came back changed");
+        let mut refused = work(4, "refuse");
+        refused.deadline = Instant::now() + Duration::from_secs(2);
+        assert!(session.request(refused).await.code.is_not_run());
+        assert_eq!(path.agent.connections(), 1);
+    });
+}
+
+/// Guards against an upload that ends early and looks complete to the backend server.
+#[test]
+fn a_cancelled_upload_never_looks_complete() {
+    run(async {
+        let path = Path::open();
+        let session = path.session();
+        path.seen.held.set(true);
+        {
+            let mut upload = std::pin::pin!(session.upload(work(1, vec![1; 60_000_000])));
+            let started = until(|| !path.seen.started.borrow().is_empty());
+            monoio::select! {
+                _ = &mut upload => panic!("the upload cannot end yet"),
+                () = started => {}
+            }
+        }
+        path.seen.held.set(false);
+        until(|| path.seen.broken.get() == 1).await;
+        assert!(path.seen.complete.borrow().is_empty());
+    });
+}
+
+/// Guards against a request that runs twice because its offer was taken back after the peer had admitted it.
+#[test]
+fn an_abandoned_offer_does_not_run() {
+    run(async {
+        let path = Path::open();
+        let head = |id: u8| Head {
+            id: RequestId([id; 16]),
+            kind: Kind::Request,
+            class: "reservation".to_owned(),
+            idempotent: false,
+            timeout_ms: 30_000,
+            position: 0,
+            length: None,
+        };
+        let offer = |id: u8| Message::Run {
+            service: Id(1),
+            caller: "caller".to_owned(),
+            head: head(id),
+        };
+        let deadline = Instant::now() + Duration::from_secs(30);
+        let mut abandoned = Link::connect(path.peer, &CLUSTER, "peer", deadline)
+            .await
+            .expect("a link");
+        let mut link = Link::connect(path.peer, &CLUSTER, "peer", deadline)
+            .await
+            .expect("a link");
+        abandoned.send(&offer(1)).await.expect("an offer");
+        assert_eq!(abandoned.recv::<Message>().await.expect("an answer"), Message::Admitted);
+        drop(abandoned);
+        // Both slots are free again for the second request once the first offer is forgotten.
+        for id in 2..4 {
+            link.send(&offer(id)).await.expect("an offer");
+            assert_eq!(link.recv::<Message>().await.expect("an answer"), Message::Admitted);
+            link.send(&Message::Body("hello".into())).await.expect("a body");
+            link.send(&Message::BodyEnd).await.expect("an end");
+            let Message::Reply(reply) = link.recv().await.expect("a reply") else {
+                panic!("expected a reply")
+            };
+            assert_eq!(reply.code, Code::OK);
+            assert_eq!(
+                link.recv::<Message>().await.expect("a body"),
+                Message::Body("hello".into())
+            );
+            assert_eq!(link.recv::<Message>().await.expect("an end"), Message::End);
+        }
+        let ids: Vec<String> = [2_u8, 3].map(|id| format!("/requests/{}", RequestId([id; 16]))).into();
+        assert_eq!(*path.seen.started.borrow(), ids);
+    });
+}
+
+/// Guards against a stop that interrupts a running request or takes a new one.
+#[test]
+fn a_stop_finishes_running_requests_and_takes_no_new_ones() {
+    run(async {
+        let path = Path::open();
+        path.seen.held.set(true);
+        let session = path.session();
+        let running = monoio::spawn({
+            let session = session.clone();
+            async move { session.request(work(1, "running")).await }
+        });
+        until(|| !path.seen.started.borrow().is_empty()).await;
+        let stopped = monoio::spawn(path.agent.clone().stop());
+        let mut refused = work(2, "late");
+        refused.deadline = Instant::now() + Duration::from_secs(1);
+        assert!(session.request(refused).await.code.is_not_run());
+        path.seen.held.set(false);
+        assert_eq!(running.await.code, Code::OK);
+        assert_eq!(path.seen.started.borrow().len(), 1);
+        drop(session);
+        stopped.await;
+    });
+}
+
+/// Guards against new work for a backend server that drains or has gone away.
+#[test]
+fn a_draining_backend_server_gets_no_new_work() {
+    run(async {
+        let path = Path::open();
+        let session = path.session();
+        assert_eq!(session.request(work(1, "before")).await.code, Code::OK);
+        path.seen.draining.set(true);
+        let mut refusals = 0;
+        while refusals == 0 {
+            let mut late = work(2, "late");
+            late.deadline = Instant::now() + Duration::from_millis(500);
+            let answer = session.request(late).await;
+            refusals += u32::from(answer.code.is_not_run());
+        }
+        let before = path.seen.started.borrow().len();
+        let mut late = work(3, "late");
+        late.deadline = Instant::now() + Duration::from_millis(500);
+        assert!(session.request(late).await.code.is_not_run());
+        assert_eq!(path.seen.started.borrow().len(), before);
+        path.seen.draining.set(false);
+        loop {
+            let mut again = work(4, "again");
+            again.deadline = Instant::now() + Duration::from_secs(1);
+            if path.session().request(again).await.code == Code::OK {
+                break;
+            }
+        }
+    });
+}
