--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -290,7 +290,8 @@
                 .change(&["service", "apply", &service.name, "--address", &address])
                 .await?;
         }
-        for host in &self.hosts.borrow().clone() {
+        let hosts = self.hosts.borrow().clone();
+        for host in &hosts {
             revision = self.label(host).await?;
         }
         for service in &self.services {
