--- a/crates/dogwoodpitch/src/caller/request.rs
+++ b/crates/dogwoodpitch/src/caller/request.rs
@@ -114,6 +114,9 @@
         progress.sent.set(false);
         delay = (delay * 2).min(MAX_RETRY_DELAY);
         progress.unknown.set(progress.unknown.get() || answer.code.is_unknown());
+        if answer.code == Code::DRAINING {
+            session.leave(&link);
+        }
         if !may_retry(answer.code, work.idempotent) {
             return answer;
         }
--- a/crates/dogwoodpitch/src/caller/session.rs
+++ b/crates/dogwoodpitch/src/caller/session.rs
@@ -44,6 +44,8 @@
     /// Notified when `current`, `closed` or a link's `abandoned` changes.
     pub(super) change: Change,
     pub(super) budget: RefCell<Budget>,
+    /// Number of the connection whose agent refuses work because it is draining.
+    refused: Cell<Option<u64>>,
     closed: Cell<bool>,
     counters: Cell<Counters>,
     connections: Cell<u64>,
@@ -81,6 +83,7 @@
             current: RefCell::default(),
             change: Change::default(),
             budget: RefCell::new(Budget::open()),
+            refused: Cell::new(None),
             closed: Cell::new(false),
             counters: Cell::default(),
             connections: Cell::new(0),
@@ -129,6 +132,18 @@
         self.change.wait(|| link.abandoned.get().then_some(())).await;
     }
 
+    /// Moves to another connection because the agent refuses work. Its notice to move may come later, since an agent spreads
+    /// these notices over a second.
+    pub(super) fn leave(&self, link: &Link) {
+        self.refused.set(Some(link.number));
+        self.change.notify();
+    }
+
+    async fn refused(&self, link: &Link) {
+        let refused = || (self.refused.get() == Some(link.number)).then_some(());
+        self.change.wait(refused).await;
+    }
+
     async fn run(self: Rc<Self>) {
         let closed = self.change.wait(|| self.closed.get().then_some(()));
         monoio::select! {
@@ -144,6 +159,7 @@
             let end = monoio::select! {
                 reason = link.connection.closed() => End::Lost(reason.to_string()),
                 reason = notice(&link) => End::Move(reason),
+                () = self.refused(&link) => End::Move("request refused: draining".to_owned()),
                 () = self.silent(&link) => End::Silent,
             };
             let service = self.settings.service.as_str();
--- a/crates/dogwoodpitch/tests/caller.rs
+++ b/crates/dogwoodpitch/tests/caller.rs
@@ -293,6 +293,21 @@
     });
 }
 
+/// Guards against retries that stay at a draining agent whose notice to move has not arrived yet.
+#[test]
+fn refusal_of_a_draining_agent_moves_the_session() {
+    run(async {
+        let place = Place::bind();
+        place.serve(|mut stream| async move {
+            let code = if stream.number == 1 { Code::DRAINING } else { Code::OK };
+            stream.reply(code, 0, b"").await;
+        });
+        let session = place.session();
+        assert_eq!(session.request(work(1, false, "reserve")).await.code, Code::OK);
+        assert_eq!((session.counters().moves, session.counters().reconnects), (1, 0));
+    });
+}
+
 /// Guards against a second run of work that is not idempotent, and against a needless `unknown` for work that is.
 #[test]
 fn lost_connection_repeats_only_idempotent_work() {
