--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -523,6 +523,13 @@
         signal::kill(Pid::from_raw(pid), signal).map_err(|error| format!("signal to {name}: {error}"))
     }
 
+    /// Process ID of a process.
+    pub(crate) fn pid(&self, name: &str) -> Result<String, String> {
+        let processes = self.processes.borrow();
+        let process = processes.get(name).ok_or_else(|| format!("no process {name}"))?;
+        Ok(process.0.id().to_string())
+    }
+
     /// Kills a process at once.
     pub(crate) fn kill(&self, name: &str) {
         self.processes.borrow_mut().remove(name);
--- a/crates/dogwoodpitch-lab/src/measure/mod.rs
+++ b/crates/dogwoodpitch-lab/src/measure/mod.rs
@@ -336,7 +336,7 @@
 }
 
 /// Bytes of control traffic of each node so far.
-async fn control_bytes(cluster: &Cluster) -> HashMap<SocketAddr, f64> {
+pub(crate) async fn control_bytes(cluster: &Cluster) -> HashMap<SocketAddr, f64> {
     let nodes: Vec<_> = {
         let balancers = cluster.balancers.borrow();
         let hosts = cluster.hosts.borrow();
--- a/crates/dogwoodpitch-lab/src/slopes.rs
+++ b/crates/dogwoodpitch-lab/src/slopes/state.rs
@@ -1,4 +1,4 @@
-//! Measures how state, processor time and traffic grow with the number of nodes and flows.
+//! Size and processor time of a node's configuration.
 
 use std::{
     collections::BTreeMap,
@@ -12,34 +12,19 @@
     roster::{Node, Role, Roster},
     service::{Id, Service},
 };
-use pico_args::Arguments;
 use serde::Serialize;
 
-use crate::Outcome;
-
-const HELP: &str = "\
-Measures how state, processor time and traffic grow
-
-Usage: dogwoodpitch-lab slopes state
-
-  state   memory, encoded size and processor time of a node's configuration at 1,100, 2,200 and 4,410 nodes
-";
+use super::{Usage, print};
 
 /// Nodes and services of the two-year size.
 const NODES: usize = 4_410;
 const SERVICES: usize = 470;
 const BALANCERS: usize = 610;
 
-/// Runs the command.
-pub(crate) fn run(mut args: Arguments) -> Outcome {
-    match args.subcommand().map_err(|error| error.to_string())?.as_deref() {
-        Some("state") => {
-            // All configurations are kept to the end, so that none reuses the memory of another.
-            let _kept: Vec<_> = [NODES / 4, NODES / 2, NODES].into_iter().map(measure_state).collect();
-        }
-        _ => print!("{HELP}"),
-    }
-    Ok(())
+/// Measures three sizes.
+pub(super) fn measure() {
+    // All configurations are kept to the end, so that none reuses the memory of another.
+    let _kept: Vec<_> = [NODES / 4, NODES / 2, NODES].into_iter().map(measure_state).collect();
 }
 
 /// Figures of a configuration with one number of nodes.
@@ -56,9 +41,9 @@
 
 fn measure_state(nodes: usize) -> [Snapshot; 2] {
     let services = nodes * SERVICES / NODES;
-    let before = resident_kib();
+    let before = Usage::read("self").resident_kib;
     let snapshot = snapshot(nodes, services);
-    let resident_kib = resident_kib().saturating_sub(before);
+    let resident_kib = Usage::read("self").resident_kib.saturating_sub(before);
     let mut copy = Snapshot::default();
     let full = snapshot.clone();
     let apply_full_us = time_us(|| copy.apply(full));
@@ -92,7 +77,7 @@
         apply_one_us,
         agents_of_all_services_us,
     };
-    println!("{}", serde_json::to_string(&state).expect("figures have string keys"));
+    print(&state);
     [snapshot, copy]
 }
 
@@ -102,18 +87,6 @@
     start.elapsed().as_micros()
 }
 
-/// Resident memory of this process.
-fn resident_kib() -> u64 {
-    const PAGE_KIB: u64 = 4;
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    statm
-        .split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<u64>().ok())
-        .unwrap_or_default()
-        * PAGE_KIB
-}
-
 fn name(index: usize) -> String {
     format!("peristeri-node-{index:04}")
 }
