Give each agent of the exchange tests its own loopback address

A port that is free when the test asks may be taken before the agent listens; the same pattern in tests/sync.rs fails with AddrInUse now and then.

--- a/crates/dogwoodpitch/tests/exchange.rs
+++ b/crates/dogwoodpitch/tests/exchange.rs
@@ -6,6 +6,7 @@
     future::pending,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
     rc::Rc,
+    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
@@ -173,7 +174,11 @@
 }
 
 fn node(name: &str, port: &Port, incarnation: u32) -> Node {
-    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    // A loopback address of its own: on a shared one, another test may take the port before the agent listens.
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 128, low, NEXT.fetch_add(1, Ordering::Relaxed));
+    let free = TcpListener::bind((ip, 0)).unwrap();
     let peer = free.local_addr().unwrap();
     Node {
         name: name.to_owned(),
