--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -38,6 +38,9 @@
 const MAX_OFFERS: usize = 2;
 /// Time between looks for a free peer while a request waits for a slot here.
 const OFFER_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a draining agent looks for a slot of a peer before it refuses a request. The callers' retries are limited, and
+/// all of them move at the same time.
+const DRAIN_WAIT: Duration = Duration::from_secs(1);
 /// Longest time a caller may ask for, which keeps deadlines within the range of the clock.
 const MAX_TIMEOUT: Duration = Duration::from_hours(24);
 /// How long a peer's early answer is waited for after it stopped reading the body.
@@ -198,6 +201,13 @@
         }
     }
     if let Some(drain) = drain {
+        let until = (*deadline).min(Instant::now() + DRAIN_WAIT);
+        while Instant::now() < until {
+            if let Some(remote) = later_offer(agent, work).await {
+                log_placement(agent, work, &remote.peer, &drain.to_string());
+                return Ok(Place::Peer(Box::new(remote)));
+            }
+        }
         log_placement(agent, work, "none", &drain.to_string());
         return Err(reply(Code::DRAINING, drain.to_string()));
     }
