--- a/crates/dogwoodpitch-lab/src/measure/fault.rs
+++ b/crates/dogwoodpitch-lab/src/measure/fault.rs
@@ -17,6 +17,8 @@
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(30);
 /// Interval at which revisions are read.
 const REVISION_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time until the fabric uses a new balancer.
+const JOIN_LIMIT: Duration = Duration::from_secs(10);
 /// Longest graceful stop of a daemon.
 const STOP_LIMIT: Duration = Duration::from_secs(25);
 
@@ -163,7 +165,15 @@
             let entry = |balancer: &Balancer| json!({ "ingress": balancer.ingress, "http": balancer.http });
             balancers.iter().map(entry).collect()
         };
-        cluster::post(self.cluster.fabric, "/balancers", &json!(balancers)).await
+        cluster::post(self.cluster.fabric, "/balancers", &json!(balancers)).await?;
+        let (fabric, ingress) = (self.cluster.fabric, balancer.ingress.to_string());
+        cluster::until("packets at the new balancer", JOIN_LIMIT, || async {
+            let stats = cluster::get(fabric, "/stats").await.unwrap_or_default();
+            stats["per_balancer"][&ingress]
+                .as_u64()
+                .is_some_and(|packets| packets > 0)
+        })
+        .await
     }
 
     /// Drains a backend server, and stops the agent of another one.
