Let draining agents look for a peer's slot and send excess requests to peers

Without a live peer it refuses at once, which two tests of the agent found when the wait used up the whole deadline. Requests are first offered to the peer that Exchange::place_excess names.

--- a/crates/dogwoodpitch/src/agent/mod.rs
+++ b/crates/dogwoodpitch/src/agent/mod.rs
@@ -108,6 +108,17 @@
         (!selected).then_some(drain::Reason::NotSelected)
     }
 
+    /// Whether another agent of a service has reported its load recently.
+    fn has_live_peer(&self, service: Id) -> bool {
+        let Some(name) = self.flows.name(service) else {
+            return false;
+        };
+        let snapshot = self.sync.snapshot();
+        let own = &self.settings.node.name;
+        let mut agents = snapshot.agents(&name);
+        agents.any(|node| node.name != *own && self.exchange.is_alive(node))
+    }
+
     /// Why no new work of any service goes to the backend server.
     fn draining_all(&self) -> Option<drain::Reason> {
         if self.stopping.get() {
--- a/crates/dogwoodpitch/src/agent/request.rs
+++ b/crates/dogwoodpitch/src/agent/request.rs
@@ -25,7 +25,7 @@
         code::Code,
         request::{self, Head, Kind, Reply},
     },
-    state::service::Id,
+    state::{roster::Node, service::Id},
     transport::{
         quic::{Receiver, Sender},
         time,
@@ -187,11 +187,17 @@
         return Err(reply(Code::DEADLINE, "deadline has passed"));
     }
     let drain = agent.draining(*service);
-    if drain.is_none()
-        && let Some(permit) = agent.gate.try_acquire(*service, caller, head, *deadline)
-    {
-        log_placement(agent, work, "here", "free slot");
-        return Ok(Place::Here(permit));
+    if drain.is_none() {
+        if let Some(node) = agent.exchange.place_excess(*service, head)
+            && let Ok(remote) = offer_to(agent, work, &node).await
+        {
+            log_placement(agent, work, &remote.peer, "less busy peer");
+            return Ok(Place::Peer(Box::new(remote)));
+        }
+        if let Some(permit) = agent.gate.try_acquire(*service, caller, head, *deadline) {
+            log_placement(agent, work, "here", "free slot");
+            return Ok(Place::Here(permit));
+        }
     }
     for _ in 0..MAX_OFFERS {
         let Some(remote) = offer(agent, work).await else { break };
@@ -201,8 +207,10 @@
         }
     }
     if let Some(drain) = drain {
-        let until = (*deadline).min(Instant::now() + DRAIN_WAIT);
-        while Instant::now() < until {
+        // The refusal must reach the caller before the deadline, with time for another attempt.
+        let now = Instant::now();
+        let until = now + (deadline.saturating_duration_since(now) / 2).min(DRAIN_WAIT);
+        while agent.has_live_peer(*service) && Instant::now() + OFFER_INTERVAL < until {
             if let Some(remote) = later_offer(agent, work).await {
                 log_placement(agent, work, &remote.peer, &drain.to_string());
                 return Ok(Place::Peer(Box::new(remote)));
@@ -234,6 +242,10 @@
 /// Offers a request to the best peer; `None` if there is none.
 pub(super) async fn offer(agent: &Agent, work: &Work) -> Option<Result<Remote, Reply>> {
     let node = agent.exchange.place_request(work.service, &work.head)?;
+    Some(offer_to(agent, work, &node).await)
+}
+
+async fn offer_to(agent: &Agent, work: &Work, node: &Node) -> Result<Remote, Reply> {
     let head = work.head_now();
     let offered = agent
         .exchange
@@ -245,7 +257,7 @@
             detail = refusal.detail; "a peer did not admit a request"
         );
     }
-    Some(offered)
+    offered
 }
 
 async fn later_offer(agent: &Agent, work: &Work) -> Option<Remote> {
