--- a/crates/dogwoodpitch/tests/exchange.rs
+++ b/crates/dogwoodpitch/tests/exchange.rs
@@ -6,6 +6,7 @@
     future::pending,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
     rc::Rc,
+    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
@@ -173,7 +174,11 @@
 }
 
 fn node(name: &str, port: &Port, incarnation: u32) -> Node {
-    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    // A loopback address of its own: on a shared one, another test may take the port before the agent listens.
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 128, low, NEXT.fetch_add(1, Ordering::Relaxed));
+    let free = TcpListener::bind((ip, 0)).unwrap();
     let peer = free.local_addr().unwrap();
     Node {
         name: name.to_owned(),
@@ -244,11 +249,11 @@
     let snapshot = snapshot(&nodes);
     let agents = nodes.into_iter().zip(ports);
     agents
-        .map(|(node, port)| spawn(node, port, &snapshot, policy))
+        .map(|(node, port)| spawn(&node, port, &snapshot, policy))
         .collect()
 }
 
-fn spawn(node: Node, port: Port, snapshot: &Snapshot, policy: Policy) -> Agent {
+fn spawn(node: &Node, port: Port, snapshot: &Snapshot, policy: Policy) -> Agent {
     let sync = Sync::open_fixed(node.clone(), snapshot.clone());
     let gate = Gate::open(2, 2_000, node.incarnation, policy);
     let exchange = Exchange::spawn(&sync, gate.clone(), port.clone(), KEY, policy);
@@ -428,7 +433,7 @@
         assert!(place().is_none(), "the refusal says that no slot is free");
         drop(first);
         until("the free slot is known", || place().is_some()).await;
-        let both = join_all([offer(a, b), offer(a, b)]).await;
+        let both = join_all((0..2).map(|_| offer(a, b))).await;
         assert!(both.iter().any(Result::is_ok), "{both:?}");
     });
 }
