Wait for another connection after a draining agent's refusal

Cause: a session moves at most every 500 ms, so retries went to the agent that had just refused them and used up the retry budget; the test refusal_of_a_draining_agent_moves_the_session failed with code 101 in 5 of 5 runs. Change: such a retry waits up to 2 s for the new connection. The retry rule moves to Code::may_retry, so that the fuzzer tests it and not a copy; packet size and reordering limits of both ends move to quic::transport, so that callers have them too; each test node gets a loopback address of its own, as shared ones gave AddrInUse in 2 of 6 runs of tests/sync.rs.

--- a/crates/dogwoodpitch-lab/src/slopes/flows.rs
+++ b/crates/dogwoodpitch-lab/src/slopes/flows.rs
@@ -75,7 +75,8 @@
     cluster::sleep(OBSERVE).await;
     let seconds = start.elapsed().as_secs_f64();
     let (agent_after, balancer_after) = read();
-    let status = cluster::get(cluster.hosts.borrow()[0].http, "/status").await?;
+    let http = cluster.hosts.borrow()[0].http;
+    let status = cluster::get(http, "/status").await?;
     let open = status["connections"].as_u64().unwrap_or_default();
     if open != size as u64 {
         return Err(format!("the agent has {open} of {size} connections"));
--- a/crates/dogwoodpitch/src/agent/flow.rs
+++ b/crates/dogwoodpitch/src/agent/flow.rs
@@ -11,10 +11,7 @@
 
 use bytes::BytesMut;
 use metrics::counter;
-use quinn_proto::{
-    EndpointConfig, Incoming, MtuDiscoveryConfig, ServerConfig, TransportConfig, VarInt,
-    crypto::rustls::QuicServerConfig,
-};
+use quinn_proto::{EndpointConfig, Incoming, ServerConfig, VarInt, crypto::rustls::QuicServerConfig};
 use ring::{hkdf, hmac};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
 use slotmap::{DefaultKey, SlotMap};
@@ -29,18 +26,11 @@
         settings::Certificate,
     },
     state::service::{Id, Service},
-    transport::quic::{Connection, Endpoint, Generator, Relay, Sender, Verdict},
+    transport::quic::{self, Connection, Endpoint, Generator, Relay, Sender, Verdict},
 };
 
-/// Longest QUIC packet: a frame header must fit beside it into a datagram of an Ethernet link.
-const MAX_PACKET: u16 = 1400;
 /// Silence after which a connection is dropped. Callers send keepalives every 500 ms.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
-/// Later packets whose receipt makes an earlier one count as lost. The fabric sprays packets over balancers, so they
-/// overtake each other.
-const PACKET_THRESHOLD: u32 = 64;
-/// Round-trip times after which a packet counts as lost when a later one was received.
-const TIME_THRESHOLD: f32 = 2.0;
 /// Streams that a caller may have open on a connection.
 const MAX_STREAMS: u32 = 256;
 /// Unread bytes of one stream, which bounds what a waiting upload holds in memory.
@@ -235,13 +225,8 @@
     tls.send_tls13_tickets = 0;
     let crypto = QuicServerConfig::try_from(tls).expect("the ring provider has the initial cipher suite");
     let token = hkdf::Salt::new(hkdf::HKDF_SHA256, &[]).extract(token);
-    let mut transport = TransportConfig::default();
-    let mut discovery = MtuDiscoveryConfig::default();
-    discovery.upper_bound(MAX_PACKET);
+    let mut transport = quic::transport();
     transport
-        .mtu_discovery_config(Some(discovery))
-        .packet_threshold(PACKET_THRESHOLD)
-        .time_threshold(TIME_THRESHOLD)
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
--- a/crates/dogwoodpitch/src/caller/link.rs
+++ b/crates/dogwoodpitch/src/caller/link.rs
@@ -6,17 +6,18 @@
     time::{Duration, Instant},
 };
 
-use quinn_proto::{ClientConfig, MtuDiscoveryConfig, TransportConfig, crypto::rustls::QuicClientConfig};
+use quinn_proto::{ClientConfig, crypto::rustls::QuicClientConfig};
 use rustls::{
     RootCertStore,
     client::Resumption,
     pki_types::{CertificateDer, pem::PemObject},
 };
 
-use crate::{caller::Settings, transport::quic::Connection};
+use crate::{
+    caller::Settings,
+    transport::quic::{self, Connection},
+};
 
-/// The frame between balancer and agent takes bytes, so datagrams stay below the usual path limit of 1,500 bytes.
-const MAX_MTU: u16 = 1400;
 /// The default of 333 ms repeats a lost first packet only after a second. Callers are a few milliseconds away.
 const INITIAL_RTT: Duration = Duration::from_millis(100);
 /// Acknowledgements take a round trip and at most 25 ms; a lost one is sent again after about 100 ms.
@@ -86,15 +87,12 @@
 /// QUIC configuration of a session.
 pub(super) fn config(settings: &Settings) -> Result<ClientConfig, String> {
     let crypto = QuicClientConfig::try_from(tls(&settings.roots)?).map_err(|error| error.to_string())?;
-    let mut mtu = MtuDiscoveryConfig::default();
-    mtu.upper_bound(MAX_MTU);
     let idle = IDLE_TIMEOUT.max(Duration::from_millis(u64::from(settings.silence_ms) * 3));
-    let mut transport = TransportConfig::default();
+    let mut transport = quic::transport();
     transport
         .keep_alive_interval(Some(Duration::from_millis(settings.keepalive_ms.into())))
         .max_idle_timeout(Some(idle.try_into().map_err(|_bounds| "idle timeout out of range")?))
-        .initial_rtt(INITIAL_RTT)
-        .mtu_discovery_config(Some(mtu));
+        .initial_rtt(INITIAL_RTT);
     let mut config = ClientConfig::new(Arc::new(crypto));
     config.transport_config(Arc::new(transport));
     Ok(config)
--- a/crates/dogwoodpitch/src/caller/request.rs
+++ b/crates/dogwoodpitch/src/caller/request.rs
@@ -33,6 +33,8 @@
 const SUSPECT_INTERVAL: Duration = Duration::from_millis(20);
 /// Uploads give way to the short requests of the same connection.
 const UPLOAD_PRIORITY: i32 = -1;
+/// Longest wait for another connection after an agent has refused work because it drains.
+const LEAVE_WAIT: Duration = Duration::from_secs(2);
 
 /// End of one attempt.
 enum Ended {
@@ -114,11 +116,13 @@
         progress.sent.set(false);
         delay = (delay * 2).min(MAX_RETRY_DELAY);
         progress.unknown.set(progress.unknown.get() || answer.code.is_unknown());
+        if !answer.code.may_retry(work.idempotent) {
+            return answer;
+        }
         if answer.code == Code::DRAINING {
             session.leave(&link);
-        }
-        if !may_retry(answer.code, work.idempotent) {
-            return answer;
+            // The same agent would refuse again, and each such attempt would take from the retry budget.
+            time::before(Instant::now() + LEAVE_WAIT, session.replaced(&link)).await;
         }
         let now = Instant::now();
         let at = now + retry_after.mul_f64(rand::rng().random_range(1.0..1.5));
@@ -148,16 +152,6 @@
     }
 }
 
-/// Work that was not run may be sent again. Work that may have run is only sent again if it is idempotent.
-fn may_retry(code: Code, idempotent: bool) -> bool {
-    match code {
-        // A later attempt has even less time, and an invalid or cancelled request stays so.
-        Code::DEADLINE | Code::BAD_REQUEST | Code::CANCELLED => false,
-        Code::LINK_LOST | Code::BACKEND_LOST => idempotent,
-        other => other.is_not_run(),
-    }
-}
-
 async fn attempt(session: &Inner, link: &Link, kind: Kind, work: &Work, progress: &Progress) -> Ended {
     let Ok((mut sender, receiver)) = link.connection.open_bi().await else {
         return Ended::NotSent;
--- a/crates/dogwoodpitch/src/protocol/code.rs
+++ b/crates/dogwoodpitch/src/protocol/code.rs
@@ -66,6 +66,17 @@
         (100..200).contains(&self.0)
     }
 
+    /// Whether the same request may be sent again: work that was not run may, and work that may have run only if it is
+    /// idempotent.
+    pub fn may_retry(self, idempotent: bool) -> bool {
+        match self {
+            // A later attempt has even less time, and an invalid or cancelled request stays so.
+            Self::DEADLINE | Self::BAD_REQUEST | Self::CANCELLED => false,
+            Self::LINK_LOST | Self::BACKEND_LOST => idempotent,
+            other => other.is_not_run(),
+        }
+    }
+
     /// Whether it is unknown if the request ran.
     pub fn is_unknown(self) -> bool {
         (200..300).contains(&self.0)
--- a/crates/dogwoodpitch/src/transport/quic.rs
+++ b/crates/dogwoodpitch/src/transport/quic.rs
@@ -19,8 +19,8 @@
 use bytes::{Bytes, BytesMut};
 use quinn_proto::{
     ClientConfig, ConnectError, ConnectionError, ConnectionHandle, ConnectionId, ConnectionIdGenerator, DatagramEvent,
-    Dir, EndpointConfig, Event, Incoming, InvalidCid, ReadError, ServerConfig, StreamEvent, StreamId, VarInt,
-    WriteError,
+    Dir, EndpointConfig, Event, Incoming, InvalidCid, MtuDiscoveryConfig, ReadError, ServerConfig, StreamEvent,
+    StreamId, TransportConfig, VarInt, WriteError,
 };
 use rand::RngExt;
 use snafu::Snafu;
@@ -47,6 +47,27 @@
     Closed,
 }
 
+/// Largest QUIC packet in bytes. PROXY header and frame header must fit into an Ethernet packet beside it; larger probes are
+/// lost and never fragmented.
+const MAX_PACKET: u16 = 1400;
+/// Later packets whose receipt makes an earlier one count as lost. The fabric sprays packets over balancers, so they
+/// overtake each other.
+const PACKET_THRESHOLD: u32 = 64;
+/// Round-trip times after which a packet counts as lost when a later one was received.
+const TIME_THRESHOLD: f32 = 2.0;
+
+/// Transport parameters that both ends of a sprayed path need.
+pub fn transport() -> TransportConfig {
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(MAX_PACKET);
+    let mut transport = TransportConfig::default();
+    transport
+        .mtu_discovery_config(Some(discovery))
+        .packet_threshold(PACKET_THRESHOLD)
+        .time_threshold(TIME_THRESHOLD);
+    transport
+}
+
 /// Makes sealed connection IDs that name an agent.
 #[derive(Debug, Clone)]
 pub struct Generator {
--- a/crates/dogwoodpitch/tests/fuzz/world.rs
+++ b/crates/dogwoodpitch/tests/fuzz/world.rs
@@ -1387,11 +1387,7 @@
         let request = self.requests.get_mut(&attempt.request).expect("known request");
         request.current = None;
         request.unknown |= code.is_unknown();
-        let may_retry = match code {
-            Code::DEADLINE | Code::BAD_REQUEST | Code::CANCELLED => false,
-            Code::LINK_LOST | Code::BACKEND_LOST => request.idempotent,
-            other => other.is_not_run(),
-        };
+        let may_retry = code.may_retry(request.idempotent);
         let at = self.now + Duration::from_millis(delay);
         if may_retry && at < request.deadline && self.callers[request.caller].budget.try_retry(self.now) {
             self.oracle.counts.retries += 1;
--- a/crates/dogwoodpitch/tests/stand_in/mod.rs
+++ b/crates/dogwoodpitch/tests/stand_in/mod.rs
@@ -6,8 +6,11 @@
 use std::{
     future::Future,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::mpsc,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        atomic::{AtomicU16, Ordering},
+        mpsc,
+    },
     thread,
 };
 
@@ -33,9 +36,16 @@
     receiver.recv().unwrap()
 }
 
-/// Address on which nothing listens.
+/// Address on which nothing listens. Each has a loopback address of its own, since on a shared one another test or an
+/// outgoing connection may take the port before it is used.
 pub(crate) fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = u8::try_from(std::process::id() % 200).unwrap() + 20;
+    TcpListener::bind((Ipv4Addr::new(127, process, high, low), 0))
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// Makes one HTTP call.
