Set the scenarios crest, overnight and lossy to the sizes of today

Cause: crest and overnight measured something else than a sixfold rise with a batch of uploads, and backend servers that join. Change: crest at Attica's or Cairo's sizes, overnight with two more backend servers for each service, lossy with 2% loss.

--- a/crates/dogwoodpitch-lab/src/measure/fault.rs
+++ b/crates/dogwoodpitch-lab/src/measure/fault.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 
+use super::judge::Record;
 use crate::cluster::{self, Balancer, Cluster, Host, sleep};
 
 /// Longest wait for a revision at all live balancers.
@@ -72,6 +73,8 @@
     pub(crate) reverted: Cell<Option<u64>>,
     /// Whether a backend server drained.
     pub(crate) drained: Cell<bool>,
+    /// Records some time after backend servers have joined.
+    pub(crate) joined: RefCell<Option<Vec<(usize, Record)>>>,
     /// Balancers that are down on purpose.
     down: RefCell<Vec<SocketAddr>>,
     revisions: RefCell<HashMap<SocketAddr, u64>>,
@@ -188,6 +191,17 @@
         self.restart_agent(&host).await
     }
 
+    /// Adds a backend server with its agent to a service.
+    pub(crate) async fn host_join(&self, service: usize) -> Result<(), String> {
+        let host = self.cluster.add_host(service)?;
+        self.cluster.start_backend(&host)?;
+        self.cluster.answers(host.address).await?;
+        self.cluster.start_agent(&host)?;
+        self.cluster.status_answers(host.http).await?;
+        self.cluster.label(&host).await?;
+        Ok(())
+    }
+
     /// Stops an agent gracefully and starts it again.
     pub(crate) async fn restart_agent(&self, host: &Host) -> Result<(), String> {
         self.cluster.signal(&host.agent, Signal::SIGTERM)?;
--- a/crates/dogwoodpitch-lab/src/measure/mod.rs
+++ b/crates/dogwoodpitch-lab/src/measure/mod.rs
@@ -36,10 +36,10 @@
   freeze, silent-path
                     one fault or change under steady load
   double            two of these, drawn by the seed, at the same time
-  crest             demand rises above the capacity for a short time, twice
-  overnight         few short requests beside many uploads, while agents restart one after the other
+  crest             Attica's sizes (odd seeds) or Cairo's (even seeds); demand rises sixfold within 2 s, with a batch of uploads
+  overnight         two backend servers join each service under load, while its flows stay where they are
   overload          twice the capacity all the time
-  lossy             steady load over a fabric that loses, delays and reorders packets
+  lossy             steady load over a fabric that loses 2% of the packets, delays and reorders them
 
 Options:
   --seed N          seed of load, faults and stand-ins (default 1)
@@ -49,6 +49,9 @@
   --log LEVEL       prints the log lines of the callers
 ";
 const SERVICES: [(&str, usize); 2] = [("order-board", 4), ("intake-desk", 2)];
+/// Sizes of today: services with their hosts, and slots of a host.
+const ATTICA: ([(&str, usize); 2], u16) = ([("order-board", 7), ("intake-desk", 3)], 7);
+const CAIRO: ([(&str, usize); 2], u16) = ([("counter", 7), ("cutting", 3)], 5);
 const BALANCERS: usize = 3;
 const SLOTS: u16 = 7;
 const POLICIES: [&str; 4] = ["product", "random", "round-robin", "least-load-stale"];
@@ -58,8 +61,15 @@
 const STEADY: f64 = 0.5;
 /// Uploads a second for each backend server in steady load. Each takes about a second of a slot.
 const STEADY_UPLOADS: f64 = 0.25;
-/// Offered short work at the crest and in between.
-const CREST: (f64, f64) = (1.3, 0.4);
+/// Offered short work before and at the crest, as a part of the slots: a sixfold rise that nearly fills the slots.
+const CREST: (f64, f64) = (0.15, 0.9);
+/// Time in which demand rises to the crest, and its steps.
+const CREST_RISE: Duration = Duration::from_secs(2);
+const CREST_STEPS: u32 = 8;
+/// Uploads a second for each backend server in the crest. With 5 or 7 slots they take the demand above the capacity.
+const CREST_UPLOADS: f64 = 0.5;
+/// Time after new backend servers have joined from which imbalance counts.
+const JOIN_SETTLE: Duration = Duration::from_secs(5);
 /// Mean time that a short request holds a slot.
 const WORK_MS: u64 = 50;
 
@@ -181,16 +191,21 @@
     backend.extend(option("upload-mib-s", 2));
     backend.extend(option("feed-interval-ms", load::FEED_INTERVAL_MS));
     backend.extend(option("load-lag-ms", 1000));
+    let (services, slots) = match script {
+        Script::Crest if run.seed % 2 == 1 => ATTICA,
+        Script::Crest => CAIRO,
+        _ => (SERVICES, SLOTS),
+    };
     let mut fabric = Vec::new();
     if run.scenario == "lossy" {
-        fabric.extend(option("loss-percent", 1));
+        fabric.extend(option("loss-percent", 2));
         fabric.extend(option("delay-ms", 4));
         fabric.extend(option("jitter-ms", 2));
     }
     let cluster = Cluster::start(Plan {
-        services: SERVICES.to_vec(),
+        services: services.to_vec(),
         balancers: BALANCERS,
-        slots: SLOTS,
+        slots,
         policy: run.policy.clone(),
         seed: run.seed,
         backend,
@@ -257,6 +272,10 @@
     figures.config_in_force_s = effect.in_force.get().map(|time| time.as_secs_f64());
     figures.config_reverted = effect.reverted.get();
     figures.control_bytes_per_s = busiest(&control_before, &control_after, to - from);
+    if matches!(script, Script::Overnight) {
+        let joined = effect.joined.borrow();
+        figures.imbalance = joined.as_deref().and_then(|joined| judge::imbalance(joined, &after));
+    }
     if matches!(script, Script::Steady) {
         figures.imbalance = judge::imbalance(&before, &after);
         figures.short_alone_p99_ms = judge::latency(&tally, from, middle, 0.99);
@@ -309,12 +328,17 @@
             }
         }
         Script::Crest => {
-            for _ in 0..2 {
-                demand.short.set(CREST.1);
-                sleep(time / 4).await;
-                demand.short.set(CREST.0);
-                sleep(time / 4).await;
+            demand.short.set(CREST.0);
+            sleep(time / 6).await;
+            for step in 1..=CREST_STEPS {
+                let part = f64::from(step) / f64::from(CREST_STEPS);
+                demand.short.set(CREST.0 + (CREST.1 - CREST.0) * part);
+                sleep(CREST_RISE / CREST_STEPS).await;
             }
+            demand.uploads.set(CREST_UPLOADS);
+            sleep(time / 2).await;
+            demand.uploads.set(0.0);
+            demand.short.set(CREST.0);
             Ok(())
         }
         Script::Overload => {
@@ -322,14 +346,15 @@
             Ok(())
         }
         Script::Overnight => {
-            demand.short.set(0.1);
-            demand.uploads.set(2.0);
-            let hosts = cluster.hosts.borrow().clone();
-            let pause = time / u32::try_from(hosts.len() + 1).unwrap_or(u32::MAX);
-            for host in &hosts {
-                sleep(pause).await;
-                faults.restart_agent(host).await?;
+            demand.uploads.set(STEADY_UPLOADS);
+            sleep(time / 6).await;
+            for service in 0..cluster.services.len() {
+                for _ in 0..2 {
+                    faults.host_join(service).await?;
+                }
             }
+            sleep(JOIN_SETTLE).await;
+            *faults.effect.joined.borrow_mut() = Some(judge::records(cluster).await?);
             Ok(())
         }
     }
