--- a/crates/dogwoodpitch-lab/src/measure/fault.rs
+++ b/crates/dogwoodpitch-lab/src/measure/fault.rs
@@ -296,8 +296,16 @@
 
     /// Makes a change and measures the time until it is in force.
     pub(crate) async fn accepted(&self, args: &[&str]) -> Result<(), String> {
-        let revision = self.cluster.change(args).await?;
-        self.in_force(revision).await
+        let deadline = Instant::now() + IN_FORCE_LIMIT;
+        loop {
+            // Exit code 4 is right while another fault keeps the store down; operators repeat the command.
+            let done = self.cluster.ctl(args).await?;
+            match (done.code, done.json["revision"].as_u64()) {
+                (0, Some(revision)) => return self.in_force(revision).await,
+                (4, _) if Instant::now() < deadline => sleep(Duration::from_millis(200)).await,
+                (code, _) => return Err(format!("{}: exit code {code}: {}", args.join(" "), done.text)),
+            }
+        }
     }
 
     /// Measures the time until all live balancers have a revision.
