--- a/crates/dogwoodpitch-lab/src/measure/judge.rs
+++ b/crates/dogwoodpitch-lab/src/measure/judge.rs
@@ -92,6 +92,7 @@
         let earlier = before.get(n).map_or(0.0, |(_, record)| record.slot_ms);
         busy.entry(*service).or_default().push(record.slot_ms - earlier);
     }
+    eprintln!("slot time in ms by service and host: {busy:?}");
     let ratios = busy.values().filter_map(|busy| {
         let count = u32::try_from(busy.len()).ok()?;
         let mean = busy.iter().sum::<f64>() / f64::from(count);
