Split the QUIC driver by job, and measure the delay of feed events

The time until a feed resumes was only bounded by the lag that is allowed at the end of a run. Change: config, endpoint, connection and stream modules, without a change of behaviour; feed_delay_ms is the longest delay of any event.

--- a/crates/dogwoodpitch-lab/src/measure/judge.rs
+++ b/crates/dogwoodpitch-lab/src/measure/judge.rs
@@ -50,6 +50,8 @@
     pub(crate) rebinds: u64,
     pub(crate) reconnects: u64,
     pub(crate) feed_events: u64,
+    /// Longest delay of a feed event; after the loss of an agent, the time until the feed resumed.
+    pub(crate) feed_delay_ms: u128,
     pub(crate) skipped: usize,
     /// Requests by result code.
     pub(crate) codes: BTreeMap<u16, usize>,
@@ -129,6 +131,7 @@
     figures.feed_events = tally.feed_events;
     figures.feed_events_missed = tally.feed_missed;
     figures.feed_events_doubled = tally.feed_doubled;
+    figures.feed_delay_ms = tally.feed_delay_ms;
     figures.misrouted += tally.feed_misrouted;
     figures.skipped = tally.skipped;
 }
--- a/crates/dogwoodpitch-lab/src/measure/load.rs
+++ b/crates/dogwoodpitch-lab/src/measure/load.rs
@@ -82,6 +82,8 @@
     pub(crate) feed_events: u64,
     pub(crate) feed_missed: u64,
     pub(crate) feed_doubled: u64,
+    /// Longest time from the moment that an event was due until a caller had it.
+    pub(crate) feed_delay_ms: u128,
     /// Feed events of another service.
     pub(crate) feed_misrouted: u64,
 }
@@ -136,6 +138,7 @@
                 let follow = follow(
                     session.clone(),
                     service.clone(),
+                    cluster.feed_epoch_ms(),
                     Rc::clone(&position),
                     Rc::clone(&tally),
                 );
@@ -190,8 +193,15 @@
 }
 
 /// Reads a feed until the process ends, and checks each event.
-async fn follow(session: Session, service: Service, position: Rc<Cell<u64>>, tally: Rc<RefCell<Tally>>) {
+async fn follow(
+    session: Session,
+    service: Service,
+    epoch_ms: u128,
+    position: Rc<Cell<u64>>,
+    tally: Rc<RefCell<Tally>>,
+) {
     let mut feed = session.feed(0);
+    let opened_ms = cluster::unix_ms();
     loop {
         let event = feed.next().await;
         // Position 0 stands for the present, so the first event gives the start.
@@ -205,6 +215,11 @@
         tally.feed_doubled += u64::from(event.position < expected);
         tally.feed_misrouted += u64::from(event.payload != format!("{}:{}", service.name, event.position));
         position.set(event.position.max(position.get()));
+        // Events from before the feed was opened are no measure of its delay.
+        let due_ms = epoch_ms + u128::from(event.position) * u128::from(FEED_INTERVAL_MS);
+        if due_ms > opened_ms {
+            tally.feed_delay_ms = tally.feed_delay_ms.max(cluster::unix_ms().saturating_sub(due_ms));
+        }
     }
 }
 
--- /dev/null
+++ b/crates/dogwoodpitch/src/transport/quic/connection.rs
@@ -0,0 +1,256 @@
+//! Handles of connections, and the state that they share with the driver task.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    fmt,
+    future::poll_fn,
+    net::SocketAddr,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use quinn_proto::{ConnectionError, Dir, Event, StreamEvent, StreamId, VarInt};
+
+use super::{Error, Receiver, Relay, Sender};
+
+/// State of one connection, shared by its driver task and its handles.
+pub(super) struct Inner {
+    pub(super) proto: RefCell<quinn_proto::Connection>,
+    pub(super) driver: Cell<Option<Waker>>,
+    pub(super) work: Cell<bool>,
+    pub(super) last_received: Cell<Instant>,
+    pub(super) relay: Cell<Relay>,
+    pub(super) connected: Cell<bool>,
+    pub(super) lost: RefCell<Option<ConnectionError>>,
+    /// Tasks that wait for connection events: handshake, new streams, stream credit, loss.
+    pub(super) wakers: RefCell<Vec<Waker>>,
+    /// Tasks that wait for one stream.
+    pub(super) streams: RefCell<HashMap<(StreamId, Side), Waker>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Side {
+    Read,
+    Write,
+}
+
+impl Inner {
+    pub(super) fn wake(&self) {
+        self.work.set(true);
+        wake(&self.driver);
+    }
+
+    /// Registers a waiting task once, since a task that waits for several things is polled many times between events.
+    pub(super) fn register(&self, waker: &Waker) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+    }
+
+    fn wake_connection(&self) {
+        let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    fn wake_stream(&self, id: StreamId, side: Side) {
+        let waker = self.streams.borrow_mut().remove(&(id, side));
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    pub(super) fn wake_all(&self) {
+        self.wake_connection();
+        let streams = std::mem::take(&mut *self.streams.borrow_mut());
+        streams.into_values().for_each(Waker::wake);
+    }
+
+    pub(super) fn lost(&self) -> Option<Error> {
+        self.lost.borrow().clone().map(|reason| Error::Lost { reason })
+    }
+
+    pub(super) fn process_events(&self) {
+        loop {
+            let event = self.proto.borrow_mut().poll();
+            let Some(event) = event else { return };
+            match event {
+                Event::Connected => {
+                    self.connected.set(true);
+                    self.wake_connection();
+                }
+                Event::ConnectionLost { reason } => {
+                    self.lost.borrow_mut().get_or_insert(reason);
+                    self.wake_all();
+                }
+                Event::Stream(StreamEvent::Readable { id }) => self.wake_stream(id, Side::Read),
+                Event::Stream(StreamEvent::Writable { id } | StreamEvent::Finished { id }) => {
+                    self.wake_stream(id, Side::Write);
+                }
+                Event::Stream(StreamEvent::Stopped { id, .. }) => self.wake_stream(id, Side::Write),
+                Event::Stream(StreamEvent::Opened { .. } | StreamEvent::Available { .. }) => self.wake_connection(),
+                _ => {}
+            }
+        }
+    }
+}
+
+pub(super) fn wake(cell: &Cell<Option<Waker>>) {
+    if let Some(waker) = cell.take() {
+        waker.wake();
+    }
+}
+
+/// Closes the connection when the last handle and the last stream are dropped.
+struct Guard(Rc<Inner>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.0.lost.borrow().is_none() {
+            self.0
+                .proto
+                .borrow_mut()
+                .close(Instant::now(), VarInt::from_u32(0), Bytes::new());
+            self.0.wake();
+        }
+    }
+}
+
+/// Handle of a connection. The connection is closed when all handles and streams are dropped.
+#[derive(Clone)]
+pub struct Connection(Rc<Guard>);
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("lost", &self.inner().lost.borrow())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Connection {
+    pub(super) fn new(inner: Rc<Inner>) -> Self {
+        Self(Rc::new(Guard(inner)))
+    }
+
+    pub(super) fn inner(&self) -> &Inner {
+        &self.0.0
+    }
+
+    /// Waits for `ready` to give a value, or for the loss of the connection.
+    async fn wait<T>(&self, mut ready: impl FnMut(&Inner) -> Option<T>) -> Result<T, Error> {
+        poll_fn(|cx| {
+            let inner = self.inner();
+            if let Some(value) = ready(inner) {
+                return Poll::Ready(Ok(value));
+            }
+            if let Some(error) = inner.lost() {
+                return Poll::Ready(Err(error));
+            }
+            inner.register(cx.waker());
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Waits for the end of the handshake.
+    pub async fn connected(&self) -> Result<(), Error> {
+        self.wait(|inner| (inner.connected.get() && inner.lost.borrow().is_none()).then_some(()))
+            .await
+    }
+
+    /// Waits for the loss of the connection.
+    pub async fn closed(&self) -> ConnectionError {
+        poll_fn(|cx| {
+            let inner = self.inner();
+            if let Some(reason) = inner.lost.borrow().clone() {
+                return Poll::Ready(reason);
+            }
+            inner.register(cx.waker());
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Opens a bidirectional stream when the peer allows one more.
+    pub async fn open_bi(&self) -> Result<(Sender, Receiver), Error> {
+        let id = self
+            .wait(|inner| inner.proto.borrow_mut().streams().open(Dir::Bi))
+            .await?;
+        Ok((Sender::new(self, id), Receiver::new(self, id)))
+    }
+
+    /// Accepts a bidirectional stream.
+    pub async fn accept_bi(&self) -> Result<(Sender, Receiver), Error> {
+        let id = self
+            .wait(|inner| inner.proto.borrow_mut().streams().accept(Dir::Bi))
+            .await?;
+        self.inner().wake();
+        Ok((Sender::new(self, id), Receiver::new(self, id)))
+    }
+
+    /// Opens a unidirectional stream.
+    pub async fn open_uni(&self) -> Result<Sender, Error> {
+        let id = self
+            .wait(|inner| inner.proto.borrow_mut().streams().open(Dir::Uni))
+            .await?;
+        Ok(Sender::new(self, id))
+    }
+
+    /// Accepts a unidirectional stream.
+    pub async fn accept_uni(&self) -> Result<Receiver, Error> {
+        let id = self
+            .wait(|inner| inner.proto.borrow_mut().streams().accept(Dir::Uni))
+            .await?;
+        self.inner().wake();
+        Ok(Receiver::new(self, id))
+    }
+
+    /// Closes the connection with a code and a reason for the peer.
+    pub fn close(&self, code: u32, reason: &str) {
+        let reason = Bytes::copy_from_slice(reason.as_bytes());
+        self.inner()
+            .proto
+            .borrow_mut()
+            .close(Instant::now(), VarInt::from_u32(code), reason);
+        self.inner()
+            .lost
+            .borrow_mut()
+            .get_or_insert(ConnectionError::LocallyClosed);
+        self.inner().wake_all();
+        self.inner().wake();
+    }
+
+    /// Whether the connection is lost or closed.
+    pub fn is_lost(&self) -> bool {
+        self.inner().lost.borrow().is_some()
+    }
+
+    /// When the last datagram of this connection arrived.
+    pub fn last_received(&self) -> Instant {
+        self.inner().last_received.get()
+    }
+
+    /// Address of the peer; it changes when the peer moves to another port.
+    pub fn remote(&self) -> SocketAddr {
+        self.inner().proto.borrow().remote_address()
+    }
+
+    /// Tells the connection that this side now sends from another port, and probes the new path.
+    pub fn rebound(&self) {
+        let mut proto = self.inner().proto.borrow_mut();
+        proto.local_address_changed();
+        proto.ping();
+        drop(proto);
+        self.inner().wake();
+    }
+
+    /// Sends a PING, so that a live peer answers.
+    pub fn ping(&self) {
+        self.inner().proto.borrow_mut().ping();
+        self.inner().wake();
+    }
+}
