Let a frozen agent's lease expire in the store

Cause: freeze was longer than the heartbeats only; the lease of 600 s never lapsed while its holder was paused. Change: the store stand-in ends the lease of a key on request; the scenario does so in the middle of the freeze.

--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -524,6 +524,16 @@
         signal::kill(Pid::from_raw(pid), signal).map_err(|error| format!("signal to {name}: {error}"))
     }
 
+    /// Lets the lease of a node's announcement expire. Returns whether it had one.
+    pub(crate) async fn expire_lease(&self, node: &str) -> Result<bool, String> {
+        let key = Bytes::from(format!("dogwoodpitch/nodes/{node}"));
+        let request = Request::builder().method(Method::POST).uri("/lab/expire");
+        let request = request.body(Full::new(key)).map_err(|error| error.to_string())?;
+        let answer = http::call(self.store, Instant::now() + CALL_TIMEOUT, request).await;
+        let (_, body) = answer.map_err(|error| format!("/lab/expire: {error}"))?;
+        serde_json::from_slice(&body).map_err(|error| format!("/lab/expire: {error}"))
+    }
+
     /// Process ID of a process.
     pub(crate) fn pid(&self, name: &str) -> Result<String, String> {
         let processes = self.processes.borrow();
--- a/crates/dogwoodpitch-lab/src/gateway.rs
+++ b/crates/dogwoodpitch-lab/src/gateway.rs
@@ -89,6 +89,11 @@
                 Err(problem) => error(StatusCode::BAD_REQUEST, &problem.to_string()),
             };
         }
+        "/lab/expire" => {
+            let key = String::from_utf8_lossy(&body);
+            let expired = state.borrow_mut().expire_lease_of(key.as_bytes());
+            return http::json(StatusCode::OK, &expired);
+        }
         _ => {}
     }
     let fault = state.borrow().fault;
@@ -240,6 +245,14 @@
         }
     }
 
+    /// Ends the lease of a key before its time. Returns whether the key had one.
+    fn expire_lease_of(&mut self, key: &[u8]) -> bool {
+        let lease = self.entries.get(key).map_or(0, |entry| entry.lease);
+        let expired = self.leases.remove(&lease).is_some();
+        self.expire();
+        expired
+    }
+
     /// Drops expired leases and their keys.
     fn expire(&mut self) {
         let now = Instant::now();
--- a/crates/dogwoodpitch-lab/src/measure/fault.rs
+++ b/crates/dogwoodpitch-lab/src/measure/fault.rs
@@ -235,7 +235,12 @@
         let host = self.host();
         self.excuse(&host).await?;
         self.cluster.signal(&host.agent, Signal::SIGSTOP)?;
-        sleep(hold).await;
+        sleep(hold / 2).await;
+        // The lease lapses while its holder is paused and still believes that it holds it.
+        if !self.cluster.expire_lease(&host.agent).await? {
+            return Err(format!("{} has no lease that could expire", host.agent));
+        }
+        sleep(hold / 2).await;
         self.cluster.signal(&host.agent, Signal::SIGCONT)
     }
 
--- a/crates/dogwoodpitch-lab/src/store.rs
+++ b/crates/dogwoodpitch-lab/src/store.rs
@@ -12,7 +12,8 @@
 
 Usage: dogwoodpitch-lab store --listen IP:PORT
 
-POST /lab/fault takes {\"kind\":\"none\"|\"outage\"|\"slow\"|\"lost_reply\",\"millis\":N}; GET /lab/stats gives the calls by path.
+POST /lab/fault takes {\"kind\":\"none\"|\"outage\"|\"slow\"|\"lost_reply\",\"millis\":N}; POST /lab/expire ends the lease of the key in its body;
+GET /lab/stats gives the calls by path.
 ";
 
 /// Runs the command.
