--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -2,10 +2,10 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -147,6 +147,7 @@
                 time::sleep_until(now + MIN_INTERVAL).await;
             }
         });
+        monoio::spawn(report_to_new_peers(Rc::downgrade(&exchange.0), sync.clone()));
         exchange
     }
 
@@ -532,23 +533,43 @@
         }
         self.0.reported_at.set(now);
         self.0.credit.set(self.0.credit.get() - 1.0);
+        // Agents that are not known to be alive get the slow rate only: they must learn of this one to answer.
+        let report = self.report_to(|node| due || self.is_alive(node));
+        self.0.reported.set(report);
+    }
+
+    /// Sends the load of this agent to some of its peers, and returns it.
+    fn report_to(&self, wanted: impl Fn(&Node) -> bool) -> Load {
+        let load = self.0.gate.load();
         let report = Report {
             node: self.0.sync.own().name.clone(),
-            load: self.0.gate.load(),
+            load,
         };
-        self.0.reported.set(report.load);
         let mut payload = Vec::new();
-        if ciborium::into_writer(&report, &mut payload).is_err() {
-            return;
-        }
+        ciborium::into_writer(&report, &mut payload).expect("writing CBOR to memory does not fail");
         let header = Header::control(Kind::Load);
-        for node in &self.view().peers {
-            // Agents that are not known to be alive get the slow rate only: they must learn of this one to answer.
-            if due || self.is_alive(node) {
-                self.0.port.send(node.datagram, &header, &payload);
-            }
+        for node in self.view().peers.iter().filter(|node| wanted(node)) {
+            self.0.port.send(node.datagram, &header, &payload);
         }
         self.0.port.flush();
+        load
+    }
+}
+
+/// Reports to agents at once when a change of the configuration makes them peers. Until the next regular report, up to a
+/// second later, each of them would keep the new flows of a service for itself.
+async fn report_to_new_peers(exchange: Weak<Inner>, sync: Sync) {
+    let mut known = sync.snapshot();
+    let mut peers = BTreeSet::new();
+    while let Some(inner) = exchange.upgrade() {
+        let exchange = Exchange(inner);
+        let current: BTreeSet<_> = exchange.view().peers.iter().map(|node| node.name.clone()).collect();
+        if !current.is_subset(&peers) {
+            exchange.report_to(|node| !peers.contains(&node.name));
+        }
+        peers = current;
+        drop(exchange);
+        known = sync.changed(&known).await;
     }
 }
 
