--- a/crates/dogwoodpitch/src/lib.rs
+++ b/crates/dogwoodpitch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balancer;
 pub mod caller;
 pub mod coordination;
+pub mod daemon;
 pub mod protocol;
 pub mod state;
 pub mod transport;
