--- a/crates/dogwoodpitch-lab/src/backend.rs
+++ b/crates/dogwoodpitch-lab/src/backend.rs
@@ -13,12 +13,13 @@
 use bytes::Bytes;
 use dogwoodpitch::transport::{
     http::{self, Payload},
+    runtime,
     signal::Termination,
     time,
 };
 use http_body_util::{BodyExt, channel::Channel};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
-use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+use monoio::net::TcpListener;
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
@@ -112,10 +113,7 @@
     if !rest.is_empty() {
         return Err(format!("unknown arguments {rest:?}; see --help"));
     }
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| error.to_string())?;
+    let mut runtime = runtime::open().map_err(|error| error.to_string())?;
     runtime
         .block_on(serve(listen, server))
         .map_err(|error| error.to_string())
--- a/crates/dogwoodpitch-lab/src/cluster.rs
+++ b/crates/dogwoodpitch-lab/src/cluster.rs
@@ -16,10 +16,9 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use dogwoodpitch::transport::{http, signal::Termination, time};
+use dogwoodpitch::transport::{http, runtime, signal::Termination, time};
 use http_body_util::Full;
 use hyper::{Method, Request};
-use monoio::{LegacyDriver, RuntimeBuilder};
 use nix::{
     sys::{prctl, signal},
     unistd::Pid,
@@ -157,10 +156,7 @@
 /// Runs a task on a new runtime until it ends or SIGINT or SIGTERM arrives.
 pub(crate) fn run<T>(task: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let termination = Termination::open().map_err(|error| format!("cannot handle signals: {error}"))?;
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| format!("cannot start the runtime: {error}"))?;
+    let mut runtime = runtime::open().map_err(|error| format!("cannot start the runtime: {error}"))?;
     runtime.block_on(async {
         monoio::select! {
             result = task => result,
--- a/crates/dogwoodpitch-lab/src/fabric.rs
+++ b/crates/dogwoodpitch-lab/src/fabric.rs
@@ -14,11 +14,11 @@
 use bytes::Bytes;
 use dogwoodpitch::{
     protocol::proxy::{self, HEADER_LEN, Header},
-    transport::{http, signal::Termination, time, udp::Socket},
+    transport::{http, runtime, signal::Termination, time, udp::Socket},
 };
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+use monoio::net::TcpListener;
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Deserialize;
@@ -105,10 +105,7 @@
     if !rest.is_empty() {
         return Err(format!("unexpected arguments {rest:?}"));
     }
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| error.to_string())?;
+    let mut runtime = runtime::open().map_err(|error| error.to_string())?;
     runtime.block_on(serve(options)).map_err(|error| error.to_string())
 }
 
--- a/crates/dogwoodpitch-lab/src/forward.rs
+++ b/crates/dogwoodpitch-lab/src/forward.rs
@@ -29,10 +29,12 @@
         route::Table,
         service::{Id, Service},
     },
-    transport::udp::{BATCH, MAX_DATAGRAM, Port, Socket},
+    transport::{
+        runtime,
+        udp::{BATCH, MAX_DATAGRAM, Port, Socket},
+    },
 };
 use hdrhistogram::Histogram;
-use monoio::{LegacyDriver, RuntimeBuilder};
 use nix::{
     sys::socket::{self, MsgFlags, MultiHeaders, SockaddrIn, sockopt},
     time::ClockId,
@@ -487,7 +489,7 @@
 
 /// The forwarding code of the balancer on its runtime, with a configuration of the two-year size.
 fn balancer(sink: SocketAddrV4, ready: &mpsc::Sender<SocketAddrV4>, stop: &AtomicBool) -> io::Result<()> {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    let mut runtime = runtime::open()?;
     runtime.block_on(async {
         let ingress = Socket::bind(ANY)?;
         let port = Port::bind(ANY, FRAME_KEY)?;
--- a/crates/dogwoodpitch-lab/src/store.rs
+++ b/crates/dogwoodpitch-lab/src/store.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+use dogwoodpitch::transport::runtime;
+use monoio::net::TcpListener;
 use pico_args::Arguments;
 
 use crate::{Outcome, gateway};
@@ -27,10 +28,7 @@
     if !rest.is_empty() {
         return Err(format!("unexpected arguments {rest:?}; see --help"));
     }
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| format!("cannot start the runtime: {error}"))?;
+    let mut runtime = runtime::open().map_err(|error| format!("cannot start the runtime: {error}"))?;
     runtime.block_on(async move {
         let listener = TcpListener::bind(listen).map_err(|error| format!("cannot listen on {listen}: {error}"))?;
         println!("listening on {listen}");
--- a/crates/dogwoodpitch/src/daemon.rs
+++ b/crates/dogwoodpitch/src/daemon.rs
@@ -2,13 +2,12 @@
 
 use std::{ffi::OsString, fmt::Display, future::Future, io, path::PathBuf, process::ExitCode};
 
-use monoio::{LegacyDriver, RuntimeBuilder};
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
 
 use crate::{
     protocol::settings::{self, Check, Node},
-    transport,
+    transport::{self, runtime},
 };
 
 /// Exit code of a wrong command line.
@@ -99,10 +98,10 @@
 }
 
 /// Starts logging and the runtime.
-fn start(node: &Node) -> io::Result<monoio::Runtime<monoio::time::TimeDriver<LegacyDriver>>> {
+fn start(node: &Node) -> io::Result<runtime::Runtime> {
     let level = node.log.parse().map_err(io::Error::other)?;
     transport::log::open(&node.name, level).map_err(io::Error::other)?;
-    RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()
+    runtime::open()
 }
 
 fn join(args: &[OsString]) -> String {
--- a/crates/dogwoodpitch/src/transport/mod.rs
+++ b/crates/dogwoodpitch/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod log;
 pub mod metric;
 pub mod quic;
+pub mod runtime;
 pub mod signal;
 pub mod time;
 pub mod udp;
--- a/crates/dogwoodpitch/tests/agent.rs
+++ b/crates/dogwoodpitch/tests/agent.rs
@@ -34,14 +34,13 @@
     transport::{
         http::{self, Payload},
         quic::Relay,
-        time,
+        runtime, time,
         udp::Port,
         websocket::Link,
     },
 };
 use http_body_util::BodyExt;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
-use monoio::{LegacyDriver, RuntimeBuilder};
 
 const SERVICE: &str = "order-board";
 const CLUSTER: [u8; 32] = [7; 32];
@@ -50,10 +49,7 @@
 const OWN: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
 
 fn run<F: Future<Output = ()> + 'static>(test: F) {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("a runtime starts");
+    let mut runtime = runtime::open().expect("a runtime starts");
     runtime.block_on(async {
         time::before(Instant::now() + Duration::from_mins(1), test)
             .await
--- a/crates/dogwoodpitch/tests/caller.rs
+++ b/crates/dogwoodpitch/tests/caller.rs
@@ -19,20 +19,16 @@
     },
     transport::{
         quic::{Connection, Endpoint, Receiver, Sender, Verdict},
-        time,
+        runtime, time,
     },
 };
-use monoio::{LegacyDriver, RuntimeBuilder};
 use quinn_proto::{EndpointConfig, ServerConfig, crypto::rustls::QuicServerConfig};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
 
 const SERVICE: &str = "order-board";
 
 fn run<F: Future<Output = ()> + 'static>(test: F) {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("a runtime starts");
+    let mut runtime = runtime::open().expect("a runtime starts");
     runtime.block_on(async {
         time::before(Instant::now() + Duration::from_mins(1), test)
             .await
--- a/crates/dogwoodpitch/tests/exchange.rs
+++ b/crates/dogwoodpitch/tests/exchange.rs
@@ -32,20 +32,16 @@
         roster::{Node, Role, Roster},
         service::{Id, Service},
     },
-    transport::{time, udp::Port, websocket::Link},
+    transport::{runtime, time, udp::Port, websocket::Link},
 };
 use futures_util::future::join_all;
-use monoio::{LegacyDriver, RuntimeBuilder};
 
 const KEY: [u8; 32] = [9; 32];
 const SERVICE: Id = Id(1);
 const BOUND: Duration = Duration::from_secs(30);
 
 fn run<F: Future>(future: F) -> F::Output {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime");
+    let mut runtime = runtime::open().expect("runtime");
     runtime.block_on(future)
 }
 
--- a/crates/dogwoodpitch/tests/forward.rs
+++ b/crates/dogwoodpitch/tests/forward.rs
@@ -21,11 +21,10 @@
         service::{Id, Service},
     },
     transport::{
-        time,
+        runtime, time,
         udp::{Port, Socket},
     },
 };
-use monoio::{LegacyDriver, RuntimeBuilder};
 use quickcheck::{Arbitrary, Gen};
 
 const ANY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
@@ -46,10 +45,7 @@
 const REVISION: u64 = 7;
 
 fn run<F: Future>(future: F) -> F::Output {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime");
+    let mut runtime = runtime::open().expect("runtime");
     runtime.block_on(future)
 }
 
--- a/crates/dogwoodpitch/tests/stand_in/mod.rs
+++ b/crates/dogwoodpitch/tests/stand_in/mod.rs
@@ -14,12 +14,12 @@
     thread,
 };
 
-use monoio::{LegacyDriver, RuntimeBuilder};
+use dogwoodpitch::transport::runtime;
 use serde_json::Value;
 
 /// Runs a future on a new runtime.
 pub(crate) fn run<F: Future>(future: F) -> F::Output {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().unwrap();
+    let mut runtime = runtime::open().unwrap();
     runtime.block_on(future)
 }
 
--- a/crates/dogwoodpitch/tests/udp.rs
+++ b/crates/dogwoodpitch/tests/udp.rs
@@ -9,21 +9,17 @@
 use dogwoodpitch::{
     protocol::datagram::{HEADER_LEN, Header, Key, Kind},
     transport::{
-        time,
+        runtime, time,
         udp::{BATCH, MAX_DATAGRAM, Port},
     },
 };
-use monoio::{LegacyDriver, RuntimeBuilder};
 
 const ANY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
 const KEY: Key = Key([7; 16]);
 const BOUND: Duration = Duration::from_secs(20);
 
 fn run<F: Future>(future: F) -> F::Output {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime");
+    let mut runtime = runtime::open().expect("runtime");
     runtime.block_on(future)
 }
 
--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -8,8 +8,8 @@
 use dogwoodpitch::{
     coordination::{change::Failure, store::Store},
     protocol::code::Code,
+    transport::runtime,
 };
-use monoio::{LegacyDriver, RuntimeBuilder};
 use pico_args::Arguments;
 use serde_json::{Value, json};
 
@@ -175,10 +175,7 @@
     if expect.is_some() && !writes {
         return Err(Error::usage("--expect-revision belongs to commands that write"));
     }
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(|error| Error::usage(format!("cannot start the runtime: {error}")))?;
+    let mut runtime = runtime::open().map_err(|error| Error::usage(format!("cannot start the runtime: {error}")))?;
     runtime.block_on(async {
         let context = Context {
             store: Store::open(store),
