Wait for changes in one way

Cause: three copies of a list of wakers: the session's, which forgets a task when its future is dropped, and those of a connection and of the configuration, which kept it until the next wake. Change: the session's list becomes transport::notify::Notify and serves all three; streams use Inner::park and Inner::forget.

--- a/crates/dogwoodpitch/src/caller/mod.rs
+++ b/crates/dogwoodpitch/src/caller/mod.rs
@@ -1,6 +1,5 @@
 //! Caller library: sessions with requests, feeds and uploads that survive changes behind the service address.
 
-mod change;
 mod exchange;
 mod feed;
 mod link;
--- a/crates/dogwoodpitch/src/caller/port.rs
+++ b/crates/dogwoodpitch/src/caller/port.rs
@@ -10,10 +10,7 @@
 
 use bytes::BytesMut;
 
-use crate::{
-    caller::change::Change,
-    transport::{quic::Endpoint, time},
-};
+use crate::transport::{notify::Notify, quic::Endpoint, time};
 
 /// Time for which the former socket is still read after a change of the port, for answers that are on their way.
 const FORMER_SOCKET_TIME: Duration = Duration::from_secs(3);
@@ -26,7 +23,7 @@
     socket: RefCell<Option<Rc<UdpSocket>>>,
     generation: Cell<u64>,
     closed: Cell<bool>,
-    change: Change,
+    change: Notify,
 }
 
 impl Port {
--- a/crates/dogwoodpitch/src/caller/session.rs
+++ b/crates/dogwoodpitch/src/caller/session.rs
@@ -11,10 +11,11 @@
 use rand::RngExt;
 
 use crate::{
-    caller::{Counters, Settings, change::Change, exchange::Reader, link, link::Link, port::Port},
+    caller::{Counters, Settings, exchange::Reader, link, link::Link, port::Port},
     protocol::request::Notice,
     state::budget::Budget,
     transport::{
+        notify::Notify,
         quic::{Endpoint, Verdict},
         time,
     },
@@ -42,7 +43,7 @@
     port: Rc<Port>,
     current: RefCell<Option<Rc<Link>>>,
     /// Notified when `current`, `closed` or a link's `abandoned` changes.
-    pub(super) change: Change,
+    pub(super) change: Notify,
     pub(super) budget: RefCell<Budget>,
     /// Number of the connection whose agent refuses work because it is draining.
     refused: Cell<Option<u64>>,
@@ -81,7 +82,7 @@
             config,
             port,
             current: RefCell::default(),
-            change: Change::default(),
+            change: Notify::default(),
             budget: RefCell::new(Budget::open()),
             refused: Cell::new(None),
             closed: Cell::new(false),
--- a/crates/dogwoodpitch/src/coordination/config.rs
+++ b/crates/dogwoodpitch/src/coordination/config.rs
@@ -3,10 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    future::poll_fn,
     net::SocketAddr,
     rc::Rc,
-    task::{Poll, Waker},
     time::{Duration, Instant},
 };
 
@@ -24,7 +22,7 @@
         config::{Item, Snapshot},
         roster::{Node, Role},
     },
-    transport::{time, udp::Port},
+    transport::{notify::Notify, time, udp::Port},
 };
 
 /// Rate of head reads of all nodes together, in reads a second.
@@ -47,7 +45,7 @@
 #[derive(Debug)]
 pub(super) struct Inner {
     snapshot: RefCell<Rc<Snapshot>>,
-    wakers: RefCell<Vec<Waker>>,
+    change: Notify,
     own: Node,
     source: Cell<Source>,
     pub(super) peers: Option<Peers>,
@@ -133,7 +131,7 @@
         snapshot.roster.insert(own.clone());
         Self(Rc::new(Inner {
             snapshot: RefCell::new(Rc::new(snapshot)),
-            wakers: RefCell::default(),
+            change: Notify::default(),
             own,
             source: Cell::new(Source::None),
             peers,
@@ -152,18 +150,11 @@
 
     /// Waits until the configuration differs from the revision and roster that `known` holds.
     pub async fn changed(&self, known: &Rc<Snapshot>) -> Rc<Snapshot> {
-        poll_fn(|context| {
+        let differs = || {
             let current = self.0.snapshot.borrow();
-            if !Rc::ptr_eq(&current, known) && *current != *known {
-                return Poll::Ready(Rc::clone(&current));
-            }
-            let mut wakers = self.0.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await
+            (!Rc::ptr_eq(&current, known) && *current != *known).then(|| Rc::clone(&current))
+        };
+        self.0.change.wait(differs).await
     }
 
     /// Merges a snapshot that a peer gave.
@@ -249,9 +240,7 @@
             metrics::gauge!("dogwoodpitch_nodes").set(snapshot.roster.len() as f64);
         }
         self.0.snapshot.replace(Rc::new(snapshot));
-        for waker in self.0.wakers.take() {
-            waker.wake();
-        }
+        self.0.change.notify();
     }
 }
 
--- a/crates/dogwoodpitch/src/transport/mod.rs
+++ b/crates/dogwoodpitch/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod http;
 pub mod log;
 pub mod metric;
+pub(crate) mod notify;
 pub mod quic;
 pub mod runtime;
 pub mod signal;
--- a/crates/dogwoodpitch/src/caller/change.rs
+++ b/crates/dogwoodpitch/src/transport/notify.rs
@@ -1,4 +1,4 @@
-//! Wakes tasks that wait for a change of the session.
+//! Wakes tasks that wait for a change of shared state.
 
 use std::{cell::RefCell, future::poll_fn, task::Poll, task::Waker};
 
@@ -6,27 +6,27 @@
 
 /// Tasks that wait for a change.
 #[derive(Debug, Default)]
-pub(super) struct Change {
+pub(crate) struct Notify {
     waiting: RefCell<SlotMap<DefaultKey, Waker>>,
 }
 
 /// Entry of one waiting task. It is removed with the future, so that finished requests leave nothing behind.
 struct Entry<'a> {
-    change: &'a Change,
+    notify: &'a Notify,
     key: Option<DefaultKey>,
 }
 
-impl Change {
+impl Notify {
     /// Wakes all waiting tasks.
-    pub(super) fn notify(&self) {
+    pub(crate) fn notify(&self) {
         let wakers: Vec<_> = self.waiting.borrow().values().cloned().collect();
         wakers.into_iter().for_each(Waker::wake);
     }
 
     /// Waits until `ready` gives a value; it is called again after each notification.
-    pub(super) async fn wait<T>(&self, mut ready: impl FnMut() -> Option<T>) -> T {
+    pub(crate) async fn wait<T>(&self, mut ready: impl FnMut() -> Option<T>) -> T {
         let mut entry = Entry {
-            change: self,
+            notify: self,
             key: None,
         };
         poll_fn(|cx| {
@@ -42,7 +42,7 @@
 
 impl Entry<'_> {
     fn register(&mut self, waker: &Waker) {
-        let mut waiting = self.change.waiting.borrow_mut();
+        let mut waiting = self.notify.waiting.borrow_mut();
         match self.key.and_then(|key| waiting.get_mut(key)) {
             Some(known) => known.clone_from(waker),
             None => self.key = Some(waiting.insert(waker.clone())),
@@ -53,7 +53,7 @@
 impl Drop for Entry<'_> {
     fn drop(&mut self) {
         if let Some(key) = self.key {
-            self.change.waiting.borrow_mut().remove(key);
+            self.notify.waiting.borrow_mut().remove(key);
         }
     }
 }
--- a/crates/dogwoodpitch/src/transport/quic/connection.rs
+++ b/crates/dogwoodpitch/src/transport/quic/connection.rs
@@ -4,10 +4,9 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     fmt,
-    future::poll_fn,
     net::SocketAddr,
     rc::Rc,
-    task::{Poll, Waker},
+    task::Waker,
     time::Instant,
 };
 
@@ -15,6 +14,7 @@
 use quinn_proto::{ConnectionError, Dir, Event, StreamEvent, StreamId, VarInt};
 
 use super::{Error, Receiver, Relay, Sender};
+use crate::transport::notify::Notify;
 
 /// State of one connection, shared by its driver task and its handles.
 pub(super) struct Inner {
@@ -26,7 +26,7 @@
     pub(super) connected: Cell<bool>,
     pub(super) lost: RefCell<Option<ConnectionError>>,
     /// Tasks that wait for connection events: handshake, new streams, stream credit, loss.
-    pub(super) wakers: RefCell<Vec<Waker>>,
+    pub(super) change: Notify,
     /// Tasks that wait for one stream.
     pub(super) streams: RefCell<HashMap<(StreamId, Side), Waker>>,
 }
@@ -43,17 +43,14 @@
         wake(&self.driver);
     }
 
-    /// Registers a waiting task once, since a task that waits for several things is polled many times between events.
-    pub(super) fn register(&self, waker: &Waker) {
-        let mut wakers = self.wakers.borrow_mut();
-        if !wakers.iter().any(|known| known.will_wake(waker)) {
-            wakers.push(waker.clone());
-        }
+    /// Registers the task that waits for one side of a stream.
+    pub(super) fn park(&self, id: StreamId, side: Side, waker: &Waker) {
+        self.streams.borrow_mut().insert((id, side), waker.clone());
     }
 
-    fn wake_connection(&self) {
-        let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
-        wakers.into_iter().for_each(Waker::wake);
+    /// Forgets the task that waits for one side of a stream.
+    pub(super) fn forget(&self, id: StreamId, side: Side) {
+        self.streams.borrow_mut().remove(&(id, side));
     }
 
     fn wake_stream(&self, id: StreamId, side: Side) {
@@ -64,7 +61,7 @@
     }
 
     pub(super) fn wake_all(&self) {
-        self.wake_connection();
+        self.change.notify();
         let streams = std::mem::take(&mut *self.streams.borrow_mut());
         streams.into_values().for_each(Waker::wake);
     }
@@ -80,7 +77,7 @@
             match event {
                 Event::Connected => {
                     self.connected.set(true);
-                    self.wake_connection();
+                    self.change.notify();
                 }
                 Event::ConnectionLost { reason } => {
                     self.lost.borrow_mut().get_or_insert(reason);
@@ -91,7 +88,7 @@
                     self.wake_stream(id, Side::Write);
                 }
                 Event::Stream(StreamEvent::Stopped { id, .. }) => self.wake_stream(id, Side::Write),
-                Event::Stream(StreamEvent::Opened { .. } | StreamEvent::Available { .. }) => self.wake_connection(),
+                Event::Stream(StreamEvent::Opened { .. } | StreamEvent::Available { .. }) => self.change.notify(),
                 _ => {}
             }
         }
@@ -142,18 +139,9 @@
 
     /// Waits for `ready` to give a value, or for the loss of the connection.
     async fn wait<T>(&self, mut ready: impl FnMut(&Inner) -> Option<T>) -> Result<T, Error> {
-        poll_fn(|cx| {
-            let inner = self.inner();
-            if let Some(value) = ready(inner) {
-                return Poll::Ready(Ok(value));
-            }
-            if let Some(error) = inner.lost() {
-                return Poll::Ready(Err(error));
-            }
-            inner.register(cx.waker());
-            Poll::Pending
-        })
-        .await
+        let inner = self.inner();
+        let result = || ready(inner).map(Ok).or_else(|| inner.lost().map(Err));
+        inner.change.wait(result).await
     }
 
     /// Waits for the end of the handshake.
@@ -164,15 +152,8 @@
 
     /// Waits for the loss of the connection.
     pub async fn closed(&self) -> ConnectionError {
-        poll_fn(|cx| {
-            let inner = self.inner();
-            if let Some(reason) = inner.lost.borrow().clone() {
-                return Poll::Ready(reason);
-            }
-            inner.register(cx.waker());
-            Poll::Pending
-        })
-        .await
+        let inner = self.inner();
+        inner.change.wait(|| inner.lost.borrow().clone()).await
     }
 
     /// Opens a bidirectional stream when the peer allows one more.
--- a/crates/dogwoodpitch/src/transport/quic/endpoint.rs
+++ b/crates/dogwoodpitch/src/transport/quic/endpoint.rs
@@ -23,6 +23,7 @@
     Connection,
     connection::{Inner, wake},
 };
+use crate::transport::notify::Notify;
 
 /// What to do with the first packet of a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -218,7 +219,7 @@
             relay: Cell::new(relay),
             connected: Cell::new(false),
             lost: RefCell::default(),
-            wakers: RefCell::default(),
+            change: Notify::default(),
             streams: RefCell::default(),
         });
         self.0.connections.borrow_mut().insert(handle, Rc::clone(&inner));
--- a/crates/dogwoodpitch/src/transport/quic/stream.rs
+++ b/crates/dogwoodpitch/src/transport/quic/stream.rs
@@ -47,15 +47,10 @@
                         Poll::Ready(Ok(written))
                     }
                     Err(WriteError::Blocked) => {
-                        inner
-                            .streams
-                            .borrow_mut()
-                            .insert((self.id, Side::Write), cx.waker().clone());
+                        inner.park(self.id, Side::Write, cx.waker());
                         Poll::Pending
                     }
-                    Err(WriteError::Stopped(code)) => Poll::Ready(Err(Error::Reset {
-                        code: code.into_inner(),
-                    })),
+                    Err(WriteError::Stopped(code)) => Poll::Ready(Err(reset(code))),
                     Err(WriteError::ClosedStream) => Poll::Ready(Err(Error::Closed)),
                 }
             })
@@ -87,14 +82,9 @@
             }
             let stopped = inner.proto.borrow_mut().send_stream(self.id).stopped();
             match stopped {
-                Ok(Some(code)) => Poll::Ready(Error::Reset {
-                    code: code.into_inner(),
-                }),
+                Ok(Some(code)) => Poll::Ready(reset(code)),
                 Ok(None) => {
-                    inner
-                        .streams
-                        .borrow_mut()
-                        .insert((self.id, Side::Write), cx.waker().clone());
+                    inner.park(self.id, Side::Write, cx.waker());
                     Poll::Pending
                 }
                 Err(_closed) => Poll::Ready(Error::Closed),
@@ -117,20 +107,11 @@
 
 impl Drop for Sender {
     fn drop(&mut self) {
-        self.connection
-            .inner()
-            .streams
-            .borrow_mut()
-            .remove(&(self.id, Side::Write));
+        let inner = self.connection.inner();
+        inner.forget(self.id, Side::Write);
         if !self.finished {
-            let _ = self
-                .connection
-                .inner()
-                .proto
-                .borrow_mut()
-                .send_stream(self.id)
-                .reset(VarInt::from_u32(0));
-            self.connection.inner().wake();
+            let _ = inner.proto.borrow_mut().send_stream(self.id).reset(VarInt::from_u32(0));
+            inner.wake();
         }
     }
 }
@@ -170,15 +151,10 @@
                     if let Some(error) = inner.lost() {
                         return Poll::Ready(Err(error));
                     }
-                    inner
-                        .streams
-                        .borrow_mut()
-                        .insert((self.id, Side::Read), cx.waker().clone());
+                    inner.park(self.id, Side::Read, cx.waker());
                     Poll::Pending
                 }
-                Err(ReadError::Reset(code)) => Poll::Ready(Err(Error::Reset {
-                    code: code.into_inner(),
-                })),
+                Err(ReadError::Reset(code)) => Poll::Ready(Err(reset(code))),
                 Ok(chunk) => {
                     inner.wake();
                     Poll::Ready(Ok(chunk))
@@ -196,19 +172,14 @@
     pub async fn reset(&mut self) -> Error {
         let result = poll_fn(|cx| {
             let inner = self.connection.inner();
-            let reset = inner.proto.borrow_mut().recv_stream(self.id).received_reset();
-            match reset {
-                Ok(Some(code)) => Poll::Ready(Some(Error::Reset {
-                    code: code.into_inner(),
-                })),
+            let received = inner.proto.borrow_mut().recv_stream(self.id).received_reset();
+            match received {
+                Ok(Some(code)) => Poll::Ready(Some(reset(code))),
                 Ok(None) => {
                     if let Some(error) = inner.lost() {
                         return Poll::Ready(Some(error));
                     }
-                    inner
-                        .streams
-                        .borrow_mut()
-                        .insert((self.id, Side::Read), cx.waker().clone());
+                    inner.park(self.id, Side::Read, cx.waker());
                     Poll::Pending
                 }
                 Err(_closed) => Poll::Ready(None),
@@ -226,6 +197,12 @@
     }
 }
 
+fn reset(code: VarInt) -> Error {
+    Error::Reset {
+        code: code.into_inner(),
+    }
+}
+
 fn read_chunk(proto: &mut quinn_proto::Connection, id: StreamId, max: usize) -> Result<Option<Bytes>, ReadError> {
     let mut stream = proto.recv_stream(id);
     // A closed stream has been read to its end.
@@ -239,20 +216,11 @@
 
 impl Drop for Receiver {
     fn drop(&mut self) {
-        self.connection
-            .inner()
-            .streams
-            .borrow_mut()
-            .remove(&(self.id, Side::Read));
+        let inner = self.connection.inner();
+        inner.forget(self.id, Side::Read);
         if !self.ended {
-            let _ = self
-                .connection
-                .inner()
-                .proto
-                .borrow_mut()
-                .recv_stream(self.id)
-                .stop(VarInt::from_u32(0));
-            self.connection.inner().wake();
+            let _ = inner.proto.borrow_mut().recv_stream(self.id).stop(VarInt::from_u32(0));
+            inner.wake();
         }
     }
 }
