Steer opaque flows on the users' platform: the thin whole path

Cause: on the platform a flow belongs to client and backend server; its packets cannot be changed and carry no connection ID of ours, so the QUIC roles cannot serve there. Change: state::steering (pure decisions: placement, owner table, pointers at the two highest-ranked agents, searches, life of the backend server, membership), coordination::steering (sockets and tasks), protocol::steer (frames), coordination::kv (what is needed of a store), and platform/, the adapter with the program that runs there. deploy/settings.json renders the project's own settings.

--- /dev/null
+++ b/crates/dogwoodpitch/src/coordination/kv.rs
@@ -0,0 +1,66 @@
+//! What the steering needs of a key-value store. Clients of different stores are turned into this one.
+
+use std::{
+    fmt,
+    future::Future,
+    pin::Pin,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+
+use crate::coordination::store::Error;
+
+/// Pending answer of a store.
+pub type Answer<T> = Pin<Box<dyn Future<Output = Result<T, Error>>>>;
+
+/// Key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: Bytes,
+    /// Value.
+    pub value: Bytes,
+}
+
+/// Result of a read or of a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    /// Items that were read, or that changed.
+    pub items: Vec<Item>,
+    /// Revision of the store, from which a watch goes on.
+    pub revision: u64,
+}
+
+/// Result of a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watch {
+    /// Changes since the given revision; none if the wait is over.
+    Changes(Reading),
+    /// The store no longer has the history since that revision.
+    Compacted,
+}
+
+/// Calls of a store. Each is tried once; deadlines are given, and retries are the caller's.
+pub struct Store {
+    /// Reads one key; linearizable.
+    pub get: Box<dyn Fn(String, Instant) -> Answer<Reading>>,
+    /// Reads all keys of a prefix. The result may be seconds old if `stale` is set.
+    pub list: Box<dyn Fn(String, bool, Instant) -> Answer<Reading>>,
+    /// Waits for changes under a prefix after a revision.
+    pub watch: Box<dyn Fn(String, u64, Instant) -> Answer<Watch>>,
+    /// Writes a key under a lease. False if there is no such lease.
+    pub put: Box<dyn Fn(Item, u64, Instant) -> Answer<bool>>,
+    /// Grants a lease of a time to live.
+    pub grant: Box<dyn Fn(Duration, Instant) -> Answer<u64>>,
+    /// Renews a lease. False if it has ended.
+    pub keep_alive: Box<dyn Fn(u64, Instant) -> Answer<bool>>,
+    /// Ends a lease and removes its keys.
+    pub revoke: Box<dyn Fn(u64, Instant) -> Answer<()>>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Store")
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -0,0 +1,133 @@
+//! Announces this node in the store and finds the others there.
+
+use std::{
+    net::Ipv4Addr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use rand::RngExt;
+
+use crate::{
+    coordination::{kv::Item, steering::node::Node, store::Error},
+    protocol::store::NODE,
+    state::steering::member::Report,
+    transport::time,
+};
+
+/// Time to live of an announcement. Life is judged by reports between nodes; the lease only removes entries of VMs that
+/// never come back, and outlasts an outage of the store.
+const LEASE_TTL: Duration = Duration::from_secs(60);
+/// Time between renewals: two may fail before the lease ends.
+const RENEW_INTERVAL: Duration = Duration::from_secs(18);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after the first failure; it doubles up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between two tries.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Time between reads of the list. Nodes greet each other at their start, so the list is only a second way.
+const LIST_INTERVAL: Duration = Duration::from_secs(9);
+/// Time for the store to remove the entry at the end.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Announces the node and reads the list of the others, as long as the process runs.
+pub(super) async fn announce(node: Rc<Node>) {
+    node.greet(node.settings.seeds());
+    let mut pause = MIN_PAUSE;
+    let mut renew_at = Instant::now();
+    let mut stale = false;
+    loop {
+        let now = Instant::now();
+        let result = async {
+            if now >= renew_at {
+                renew(&node).await?;
+                renew_at = now + RENEW_INTERVAL;
+            }
+            list(&node, stale).await
+        }
+        .await;
+        let next = match result {
+            Ok(()) => {
+                stale = true;
+                pause = MIN_PAUSE;
+                Instant::now() + LIST_INTERVAL
+            }
+            Err(error) => {
+                log::warn!(
+                    event = "store.unavailable", call = "membership", error:% = error;
+                    "node cannot be announced or others cannot be listed"
+                );
+                node.greet(node.settings.seeds());
+                let next = Instant::now() + pause.mul_f64(rand::rng().random_range(0.6..1.4));
+                pause = (pause * 2).min(MAX_PAUSE);
+                next
+            }
+        };
+        time::sleep_until(next).await;
+    }
+}
+
+async fn renew(node: &Node) -> Result<(), Error> {
+    let store = &node.platform.store;
+    let deadline = || Instant::now() + CALL_TIMEOUT;
+    if let Some(lease) = node.lease.get() {
+        if (store.keep_alive)(lease, deadline()).await? {
+            return Ok(());
+        }
+        log::warn!(event = "lease.lost", lease; "the announcement was removed; announcing again");
+        node.lease.set(None);
+    }
+    let lease = (store.grant)(LEASE_TTL, deadline()).await?;
+    let mut value = Vec::new();
+    ciborium::into_writer(&node.report(false), &mut value).expect("reports have no failing serializers");
+    let item = Item {
+        key: format!("{NODE}{}", node.settings.ip).into(),
+        value: value.into(),
+    };
+    if (store.put)(item, lease, deadline()).await? {
+        node.lease.set(Some(lease));
+    }
+    Ok(())
+}
+
+async fn list(node: &Rc<Node>, stale: bool) -> Result<(), Error> {
+    let reading = (node.platform.store.list)(NODE.to_owned(), stale, Instant::now() + CALL_TIMEOUT).await?;
+    let mut listed = Vec::new();
+    for item in reading.items {
+        match parse(&item) {
+            Some((ip, report)) if ip != node.settings.ip => listed.push((ip, report)),
+            Some(_) => {}
+            None => node.reject(node.settings.ip, "entry of a node in the store is malformed"),
+        }
+    }
+    let added = node.members.borrow_mut().list(listed, Instant::now());
+    let silent: Vec<_> = {
+        let members = node.members.borrow();
+        members
+            .iter()
+            .filter(|member| !member.heard)
+            .map(|member| member.ip)
+            .collect()
+    };
+    node.greet(added.into_iter().chain(silent));
+    Ok(())
+}
+
+fn parse(item: &Item) -> Option<(Ipv4Addr, Report)> {
+    let key = std::str::from_utf8(&item.key).ok()?;
+    let ip = key.strip_prefix(NODE)?.parse().ok()?;
+    let report = ciborium::from_reader(&item.value[..]).ok()?;
+    Some((ip, report))
+}
+
+/// Removes the announcement of a node that does not come back. A process that only restarts keeps it.
+pub(super) async fn withdraw(node: &Node) {
+    let leaving = super::agent::is_leaving(node);
+    let Some(lease) = node.lease.get().filter(|_| leaving) else {
+        return;
+    };
+    if let Err(error) = (node.platform.store.revoke)(lease, Instant::now() + WITHDRAW_TIMEOUT).await {
+        log::warn!(event = "lease.not_revoked", error:% = error; "the announcement stays until its lease ends");
+    }
+}
--- a/crates/dogwoodpitch/src/protocol/mod.rs
+++ b/crates/dogwoodpitch/src/protocol/mod.rs
@@ -8,4 +8,5 @@
 pub mod quic;
 pub mod request;
 pub mod settings;
+pub mod steer;
 pub mod store;
--- /dev/null
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -0,0 +1,124 @@
+//! Frames between nodes that steer opaque flows.
+//!
+//! Format: `magic:1 | kind:1 | hops:1 | flags:1 | balancer ip:4 | version:8 | payload`. The payload is a client's packet, or
+//! messages in CBOR.
+
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::steering::{
+    agent::Note,
+    member::Report,
+    segment::{Flow, Segment},
+};
+
+/// Bytes before the payload.
+pub const HEADER_LEN: usize = 16;
+const MAGIC: u8 = 0xd7;
+const GUESSED: u8 = 1;
+
+/// Kind of a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Kind {
+    /// A client's packet for the backend server of the receiver.
+    Packet = 1,
+    /// A client's packet; the receiver says whether its backend server holds the flow.
+    Ask = 2,
+    /// A [`Message`].
+    Message = 3,
+}
+
+/// Header of a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Header {
+    /// Kind of the frame.
+    pub kind: Kind,
+    /// How often agents have passed the packet on.
+    pub hops: u8,
+    /// Whether the balancer does not know the owner of the flow.
+    pub guessed: bool,
+    /// Balancer that took the packet from the client.
+    pub balancer: Ipv4Addr,
+    /// Version of the routes that the packet was sent by.
+    pub version: u64,
+}
+
+/// What nodes tell one another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// State of the sender.
+    Report(Report),
+    /// About flows.
+    Note(Note),
+    /// Other nodes that the sender knows.
+    Nodes(Vec<(Ipv4Addr, Report)>),
+}
+
+/// Packet format of the network that carries the flows.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Header of a packet, or `None` if it is malformed.
+    pub decode: fn(&[u8]) -> Option<Segment>,
+    /// Removes the mark that a backend server returned the packet.
+    pub clear_bounced: fn(&mut [u8]),
+    /// A reset to a client, made from its flow and sequence number.
+    pub reset: fn(Flow, u32) -> Vec<u8>,
+}
+
+impl Header {
+    /// Header of a message.
+    pub fn message(version: u64) -> Self {
+        Self {
+            kind: Kind::Message,
+            hops: 0,
+            guessed: false,
+            balancer: Ipv4Addr::UNSPECIFIED,
+            version,
+        }
+    }
+
+    /// Header as bytes.
+    pub fn encode(&self) -> [u8; HEADER_LEN] {
+        let mut bytes = [0; HEADER_LEN];
+        bytes[0] = MAGIC;
+        bytes[1] = self.kind as u8;
+        bytes[2] = self.hops;
+        bytes[3] = if self.guessed { GUESSED } else { 0 };
+        bytes[4..8].copy_from_slice(&self.balancer.octets());
+        bytes[8..].copy_from_slice(&self.version.to_be_bytes());
+        bytes
+    }
+
+    /// Splits a frame into its header and its payload, if it is one.
+    pub fn decode(frame: &[u8]) -> Option<(Self, &[u8])> {
+        let (head, payload) = frame.split_first_chunk::<HEADER_LEN>()?;
+        let [MAGIC, kind, hops, flags, a, b, c, d, version @ ..] = *head else {
+            return None;
+        };
+        let kind = [Kind::Packet, Kind::Ask, Kind::Message]
+            .into_iter()
+            .find(|known| *known as u8 == kind)?;
+        let header = Self {
+            kind,
+            hops,
+            guessed: flags & GUESSED != 0,
+            balancer: Ipv4Addr::new(a, b, c, d),
+            version: u64::from_be_bytes(version),
+        };
+        Some((header, payload))
+    }
+}
+
+/// A message as bytes.
+pub fn encode(message: &Message) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("messages have no failing serializers");
+    bytes
+}
+
+/// A message, or an error if it is malformed.
+pub fn decode(bytes: &[u8]) -> Result<Message, ciborium::de::Error<std::io::Error>> {
+    ciborium::from_reader(bytes)
+}
--- a/crates/dogwoodpitch/src/state/mod.rs
+++ b/crates/dogwoodpitch/src/state/mod.rs
@@ -15,3 +15,4 @@
 pub mod route;
 pub mod selector;
 pub mod service;
+pub mod steering;
--- /dev/null
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -0,0 +1,643 @@
+//! Decisions of an agent: which packets its backend server gets, and who else may hold a flow.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::Ipv4Addr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::state::steering::{
+    backend::{Backend, Heartbeat, Outcome, Phase},
+    member::{Load, Member, Members, Stance},
+    placement::{self, Candidate},
+    rank,
+    route::{Retry, Table as Routes},
+    search::{Progress, Searches},
+    segment::{Flow, Segment},
+    table::{Entry, Stage, Table},
+};
+
+/// How often a packet is passed from agent to agent before it is refused.
+const MAX_HOPS: u8 = 3;
+/// How long a backend server that returned a SYN is taken for full.
+const FULL: Duration = Duration::from_millis(60);
+/// Age of an agent at which it knows all flows of a backend server that is older: no flow lives longer.
+const COMPLETE_AFTER: Duration = Duration::from_secs(75);
+/// Difference between the clocks' readings of two starts on one VM that still counts as the same moment.
+const START_SLACK_MS: u64 = 500;
+/// Time until peers have heard of a new agent, so that a search for one of its flows asks it.
+const JOIN: Duration = Duration::from_millis(600);
+/// Time between the word of a backend server that it ends and its end.
+const LEAVE: Duration = Duration::from_millis(300);
+/// Flows in one note; it must fit into a datagram.
+const NOTE_FLOWS: usize = 80;
+/// Pointers to flows of siblings.
+const MAX_POINTERS: usize = 32_768;
+/// How long a packet that was handed to the backend server on trial may stay without an answer.
+const TRIAL: Duration = Duration::from_millis(500);
+
+/// How a packet came to this agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Via {
+    /// Node that sent it here.
+    pub sender: Ipv4Addr,
+    /// Balancer that took it from the client.
+    pub balancer: Ipv4Addr,
+    /// How often agents have passed it on.
+    pub hops: u8,
+    /// Whether the balancer does not know the owner of the flow.
+    pub guessed: bool,
+    /// Version of the balancer's routes.
+    pub version: u64,
+}
+
+impl Via {
+    fn origin(&self) -> Origin {
+        Origin {
+            balancer: self.balancer,
+            hops: self.hops,
+        }
+    }
+}
+
+/// Way of a packet up to this agent.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    balancer: Ipv4Addr,
+    hops: u8,
+}
+
+impl Origin {
+    /// Way of the last packet of a flow; unspecified if it is not known.
+    fn of(entry: Option<Entry>) -> Self {
+        Self {
+            balancer: entry.and_then(|entry| entry.balancer).unwrap_or(Ipv4Addr::UNSPECIFIED),
+            hops: entry.map_or(0, |entry| entry.hops),
+        }
+    }
+}
+
+/// What one node tells another about flows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Note {
+    /// To a balancer: the sender holds the flow.
+    Learn(Flow),
+    /// Answer to a search: the sender holds the flow.
+    Claim(Flow),
+    /// Answer to a search: the sender's backend server does not hold the flow.
+    Deny(Flow),
+    /// The sender holds these flows and asks the receiver to keep pointers.
+    Point(Vec<Flow>),
+    /// The receiver's backend server holds these flows, as it said before its agent restarted.
+    Restore(Vec<Flow>),
+}
+
+/// What the agent does with the packet at hand, or besides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Hands the packet to the backend server.
+    Deliver,
+    /// Passes the packet to another agent.
+    Pass {
+        /// Agent.
+        to: Ipv4Addr,
+        /// How often the packet has been passed on, this time included.
+        hops: u8,
+        /// Balancer that took the packet from the client.
+        balancer: Ipv4Addr,
+    },
+    /// Asks another agent whether it holds the flow; the question carries the packet.
+    Ask {
+        /// Agent.
+        to: Ipv4Addr,
+        /// Balancer that took the packet from the client.
+        balancer: Ipv4Addr,
+    },
+    /// Sends the backend server's packet to the client.
+    Return,
+    /// Resets a flow.
+    Reset {
+        /// Flow.
+        flow: Flow,
+        /// Sequence number that the client accepts.
+        seq: u32,
+    },
+    /// Tells another node something.
+    Tell {
+        /// Node.
+        to: Ipv4Addr,
+        /// What.
+        note: Note,
+    },
+    /// Event for the log.
+    Log {
+        /// Flow.
+        flow: Flow,
+        /// Decision and its reason.
+        event: &'static str,
+    },
+}
+
+/// State of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    ip: Ipv4Addr,
+    data_centre: Bytes,
+    service: Bytes,
+    started: Instant,
+    started_ms: u64,
+    /// Whether the table holds all flows of the backend server.
+    complete: bool,
+    stopping: bool,
+    /// Backend server beside the agent.
+    pub backend: Backend,
+    /// Flows of the backend server.
+    pub table: Table,
+    /// Routes in force.
+    pub routes: Rc<Routes>,
+    pointers: HashMap<Flow, Ipv4Addr>,
+    searches: Searches,
+    trials: HashMap<Flow, Trial>,
+    full_until: Instant,
+    ends_at: Option<Instant>,
+    pointed_generation: u64,
+}
+
+/// A packet that was handed to the backend server to find out whether it holds the flow.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    asker: Ipv4Addr,
+    expires_at: Instant,
+}
+
+/// Identity of an agent.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Address of the VM.
+    pub ip: Ipv4Addr,
+    /// Data centre.
+    pub data_centre: Bytes,
+    /// Service of the backend server.
+    pub service: Bytes,
+    /// Start of the process in milliseconds of the VM's clock.
+    pub started_ms: u64,
+}
+
+impl Agent {
+    /// Agent of a backend server that has not been heard.
+    pub fn new(identity: Identity, heartbeat_interval: Duration, now: Instant) -> Self {
+        Self {
+            ip: identity.ip,
+            data_centre: identity.data_centre,
+            service: identity.service,
+            started: now,
+            started_ms: identity.started_ms,
+            complete: false,
+            stopping: false,
+            backend: Backend::new(heartbeat_interval, now),
+            table: Table::default(),
+            routes: Rc::default(),
+            pointers: HashMap::new(),
+            searches: Searches::default(),
+            trials: HashMap::new(),
+            full_until: now,
+            ends_at: None,
+            pointed_generation: 0,
+        }
+    }
+
+    /// What this agent wants to be used for.
+    pub fn stance(&self, now: Instant) -> Stance {
+        match self.backend.phase(now) {
+            _ if self.stopping && self.backend.phase(now) == Phase::Down => Stance::Leaving,
+            _ if self.stopping => Stance::Restarting,
+            Phase::Down if self.backend.is_heard() => Stance::Draining,
+            Phase::Down => Stance::Joining,
+            Phase::Draining => Stance::Draining,
+            Phase::Ready if now < self.started + JOIN => Stance::Joining,
+            Phase::Ready => Stance::Open,
+        }
+    }
+
+    /// Load for the report.
+    pub fn load(&self, now: Instant) -> Load {
+        Load {
+            slots: self.backend.slots,
+            busy: self.table.busy(),
+            flows: self.table.open(),
+            cold: self.backend.is_cold(now),
+            latency_ms: self.table.latency_ms(),
+        }
+    }
+
+    /// The process is asked to stop.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Takes a heartbeat of the backend server. A new lifetime holds no flow of the one before.
+    pub fn heartbeat(&mut self, beat: &Heartbeat, now: Instant, out: &mut Vec<Effect>) -> Outcome {
+        let first = !self.backend.is_heard();
+        let outcome = self.backend.heartbeat(beat, now);
+        if outcome != Outcome::Started {
+            return outcome;
+        }
+        self.ends_at = None;
+        if first {
+            // A backend server that started with this process or later has opened no flow without it.
+            let started_with = |started_ms| started_ms + START_SLACK_MS >= self.started_ms;
+            self.complete = beat.started_ms.is_some_and(started_with);
+            if self.complete {
+                self.table.clear();
+            }
+        } else {
+            self.complete = true;
+            self.end_flows(out);
+        }
+        outcome
+    }
+
+    /// Takes the word of the backend server that it ends now.
+    pub fn leave(&mut self, id: &Bytes, now: Instant) -> bool {
+        let leaves = self.backend.leave(id);
+        if leaves {
+            self.ends_at = Some(now + LEAVE);
+        }
+        leaves
+    }
+
+    /// The backend server's address refused a connection: it has ended, and so have its flows.
+    pub fn backend_refused(&mut self, out: &mut Vec<Effect>) {
+        self.backend.refused();
+        self.end_flows(out);
+    }
+
+    fn end_flows(&mut self, out: &mut Vec<Effect>) {
+        self.trials.clear();
+        for (flow, entry) in self.table.clear() {
+            if entry.stage == Stage::Open {
+                log(out, flow, "reset: backend server ended");
+                out.push(Effect::Reset {
+                    flow,
+                    seq: entry.client_ack,
+                });
+            }
+        }
+    }
+
+    /// Decides on a client's packet that a balancer or another agent sent here.
+    pub fn packet(&mut self, segment: &Segment, via: Via, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        if segment.is_opening() {
+            self.open(segment, via, members, now, out);
+        } else {
+            self.follow(segment, via, members, now, out);
+        }
+    }
+
+    fn open(&mut self, segment: &Segment, via: Via, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
+        if !self.may_serve(flow, via.version) {
+            // The balancer's routes are older than ours: it learns the newer version from our report.
+            log(out, flow, "drop: route leads to another service");
+            return;
+        }
+        let known = self.table.get(flow).is_some_and(|entry| entry.stage != Stage::Ended);
+        let takes = self.backend.phase(now) == Phase::Ready && !self.stopping && now >= self.full_until;
+        if !known
+            && !(takes
+                && self
+                    .table
+                    .insert(flow, Stage::Opening, via.hops, Some(via.balancer), now))
+        {
+            self.divert(flow, via.origin(), members, now, out);
+            return;
+        }
+        self.searches.claim(flow);
+        out.push(Effect::Deliver);
+        if via.hops > 0 || via.guessed {
+            tell(out, via.balancer, Note::Learn(flow));
+        }
+    }
+
+    fn may_serve(&self, flow: Flow, version: u64) -> bool {
+        match self.routes.get(flow.service) {
+            Some(route) => route.allows(&self.service) || version > self.routes.version,
+            None => version > self.routes.version || !self.routes.is_known(),
+        }
+    }
+
+    /// Passes a SYN to the sibling with the least work, or refuses it if nobody takes it.
+    fn divert(&self, flow: Flow, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let open = members.iter().filter(|member| member.is_open(&self.service, now));
+        let chosen = placement::choose(flow, open.map(|member| self.candidate(member)));
+        match chosen {
+            Some(chosen) if from.hops < MAX_HOPS => {
+                log(out, flow, "divert: backend server takes no new flow");
+                out.push(Effect::Pass {
+                    to: chosen.ip,
+                    hops: from.hops + 1,
+                    balancer: from.balancer,
+                });
+            }
+            _ => {
+                log(out, flow, "reset: no backend server takes the flow");
+                out.push(Effect::Reset { flow, seq: 0 });
+            }
+        }
+    }
+
+    fn candidate(&self, member: &Member) -> Candidate {
+        Candidate {
+            ip: member.ip,
+            near: member.report.data_centre == self.data_centre,
+            load: member.report.load,
+            placed: member.placed,
+        }
+    }
+
+    fn follow(&mut self, segment: &Segment, via: Via, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
+        if self.table.client(flow, segment, Some(via.balancer), now) {
+            out.push(Effect::Deliver);
+            if via.guessed || via.hops > 0 {
+                tell(out, via.balancer, Note::Learn(flow));
+            }
+            return;
+        }
+        let pointed = self.pointers.get(&flow).copied();
+        if let Some(owner) = pointed.filter(|owner| *owner != via.sender && via.hops < MAX_HOPS)
+            && members.get(owner).is_some_and(|member| !member.is_lost(now))
+        {
+            out.push(Effect::Pass {
+                to: owner,
+                hops: via.hops + 1,
+                balancer: via.balancer,
+            });
+            return;
+        }
+        if self.searches.is_denied(flow, now) {
+            out.push(Effect::Reset { flow, seq: segment.ack });
+            return;
+        }
+        self.search(segment, via.origin(), members, now, out);
+    }
+
+    /// Asks all siblings. Ends at once if there is nobody to ask.
+    fn search(&mut self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
+        let mut asked: BTreeSet<_> = members.agents(&self.service).map(|member| member.ip).collect();
+        let on_trial = self.needs_trial();
+        if on_trial {
+            asked.insert(self.ip);
+        }
+        if !self.searches.begin(flow, asked.clone(), segment.ack, now) {
+            return;
+        }
+        log(out, flow, "search: owner is not known");
+        if on_trial {
+            self.try_out(flow, self.ip, now);
+            out.push(Effect::Deliver);
+        }
+        let balancer = from.balancer;
+        let siblings = asked.into_iter().filter(|ip| *ip != self.ip);
+        out.extend(siblings.map(|to| Effect::Ask { to, balancer }));
+        self.give_up_on_lost(flow, members, now, out);
+        self.settle(flow, now, out);
+    }
+
+    /// Counts siblings that are lost as having no answer, if the clients of the flow gain by a quick end.
+    fn give_up_on_lost(&mut self, flow: Flow, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let repeats = self
+            .routes
+            .get(flow.service)
+            .is_some_and(|route| route.retry == Retry::Always);
+        if !repeats {
+            return;
+        }
+        let lost: Vec<_> = members
+            .agents(&self.service)
+            .filter(|member| member.is_lost(now))
+            .collect();
+        for member in lost {
+            let progress = self.searches.deny(flow, member.ip, now);
+            reset_if_nobody(flow, &progress, out);
+        }
+    }
+
+    fn settle(&mut self, flow: Flow, now: Instant, out: &mut Vec<Effect>) {
+        let progress = self.searches.settle(flow, now);
+        reset_if_nobody(flow, &progress, out);
+    }
+
+    /// Whether only the backend server can tell if it holds a flow that is not in the table.
+    fn needs_trial(&self) -> bool {
+        !self.complete && !(self.backend.is_heard() && self.backend.is_down())
+    }
+
+    fn try_out(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant) {
+        let trial = Trial {
+            asker,
+            expires_at: now + TRIAL,
+        };
+        self.trials.insert(flow, trial);
+    }
+
+    /// Answers the question of another agent whether this one holds the flow of a packet.
+    pub fn asked(&mut self, segment: &Segment, via: Via, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
+        if self.table.client(flow, segment, Some(via.balancer), now) {
+            out.push(Effect::Deliver);
+            tell(out, via.sender, Note::Claim(flow));
+            tell(out, via.balancer, Note::Learn(flow));
+        } else if self.needs_trial() {
+            self.try_out(flow, via.sender, now);
+            out.push(Effect::Deliver);
+        } else {
+            tell(out, via.sender, Note::Deny(flow));
+        }
+    }
+
+    /// Takes a packet that the backend server returned.
+    pub fn bounced(&mut self, segment: &Segment, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
+        let entry = self.table.get(flow).copied();
+        if segment.is_opening() {
+            // A copy of a SYN may bounce although the backend server has answered the first one.
+            if entry.is_some_and(|entry| entry.stage == Stage::Open) {
+                return;
+            }
+            self.table.remove(flow);
+            self.full_until = now + FULL;
+            self.divert(flow, Origin::of(entry), members, now, out);
+            return;
+        }
+        if let Some(trial) = self.trials.remove(&flow) {
+            if trial.asker == self.ip {
+                let progress = self.searches.deny(flow, self.ip, now);
+                reset_if_nobody(flow, &progress, out);
+            } else {
+                tell(out, trial.asker, Note::Deny(flow));
+            }
+            return;
+        }
+        match self.table.remove(flow) {
+            Some(Entry {
+                stage: Stage::Open | Stage::Ended,
+                ..
+            }) => {
+                log(out, flow, "reset: backend server dropped the flow");
+                out.push(Effect::Reset { flow, seq: segment.ack });
+            }
+            _ => self.search(segment, Origin::of(entry), members, now, out),
+        }
+    }
+
+    /// Takes a packet that the backend server sends to a client.
+    pub fn returned(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_backend();
+        self.table.server(flow, segment, now);
+        out.push(Effect::Return);
+        if let Some(trial) = self.trials.remove(&flow) {
+            self.searches.claim(flow);
+            if trial.asker != self.ip {
+                tell(out, trial.asker, Note::Claim(flow));
+            }
+        }
+    }
+
+    /// Takes a note of another node.
+    pub fn note(&mut self, sender: Ipv4Addr, note: Note, now: Instant, out: &mut Vec<Effect>) {
+        match note {
+            Note::Learn(_) => {}
+            Note::Claim(flow) => {
+                self.searches.claim(flow);
+                self.point(flow, sender);
+            }
+            Note::Deny(flow) => {
+                if self.pointers.get(&flow) == Some(&sender) {
+                    self.pointers.remove(&flow);
+                }
+                let progress = self.searches.deny(flow, sender, now);
+                reset_if_nobody(flow, &progress, out);
+            }
+            Note::Point(flows) => flows.into_iter().for_each(|flow| self.point(flow, sender)),
+            Note::Restore(flows) => {
+                for flow in flows {
+                    if !self.complete && self.table.get(flow).is_none() {
+                        self.table.insert(flow, Stage::Restored, 0, None, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn point(&mut self, flow: Flow, owner: Ipv4Addr) {
+        if self.pointers.len() < MAX_POINTERS || self.pointers.contains_key(&flow) {
+            self.pointers.insert(flow, owner);
+        }
+    }
+
+    /// Another process runs on the VM of a sibling: it has lost its pointers, and its table.
+    pub fn sibling_started(&mut self, sibling: Ipv4Addr, out: &mut Vec<Effect>) {
+        for (_, entry) in self.table.iter_mut() {
+            for home in &mut entry.homes {
+                if *home == Some(sibling) {
+                    *home = None;
+                    entry.pointed = false;
+                }
+            }
+        }
+        let owned: Vec<_> = self
+            .pointers
+            .iter()
+            .filter(|(_, owner)| **owner == sibling)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flows in owned.chunks(NOTE_FLOWS) {
+            tell(out, sibling, Note::Restore(flows.to_vec()));
+        }
+    }
+
+    /// Nodes have gone for good.
+    pub fn forget(&mut self, gone: &BTreeSet<Ipv4Addr>) {
+        self.pointers.retain(|_, owner| !gone.contains(owner));
+    }
+
+    /// Does what time brings: pointers to new flows, ends of old ones.
+    pub fn tick(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        if self.ends_at.is_some_and(|ends_at| now >= ends_at) {
+            self.ends_at = None;
+            self.end_flows(out);
+        }
+        if now >= self.started + COMPLETE_AFTER {
+            self.complete = true;
+        }
+        self.table.expire(now);
+        self.searches.expire(now);
+        self.trials.retain(|_, trial| now < trial.expires_at);
+        self.place_pointers(members, now, out);
+    }
+
+    fn place_pointers(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let changed = members.generation() != self.pointed_generation;
+        self.pointed_generation = members.generation();
+        let mut notes: HashMap<Ipv4Addr, Vec<Flow>> = HashMap::new();
+        let siblings: Vec<_> = members.agents(&self.service).map(|member| member.ip).collect();
+        for (flow, entry) in self.table.iter_mut() {
+            let due = (changed || !entry.pointed) && entry.stage == Stage::Open && now >= entry.point_at;
+            if !due {
+                continue;
+            }
+            entry.pointed = true;
+            let homes = rank::homes(flow, siblings.iter().copied().chain([self.ip]));
+            let new = homes
+                .iter()
+                .flatten()
+                .filter(|home| !entry.homes.contains(&Some(**home)));
+            for home in new.filter(|home| **home != self.ip) {
+                notes.entry(*home).or_default().push(flow);
+            }
+            entry.homes = homes;
+        }
+        for (home, flows) in notes {
+            for flows in flows.chunks(NOTE_FLOWS) {
+                tell(out, home, Note::Point(flows.to_vec()));
+            }
+        }
+    }
+
+    /// Routes of a newer version. Flows whose route was removed are reset.
+    pub fn route(&mut self, routes: Rc<Routes>, out: &mut Vec<Effect>) {
+        let before = std::mem::replace(&mut self.routes, routes);
+        let dropped: Vec<_> = self
+            .table
+            .iter_mut()
+            .map(|(flow, entry)| (flow, entry.client_ack))
+            .filter(|(flow, _)| before.get(flow.service).is_some() && self.routes.get(flow.service).is_none())
+            .collect();
+        for (flow, seq) in dropped {
+            self.table.remove(flow);
+            log(out, flow, "reset: route was removed");
+            out.push(Effect::Reset { flow, seq });
+        }
+    }
+}
+
+fn reset_if_nobody(flow: Flow, progress: &Progress, out: &mut Vec<Effect>) {
+    if let Progress::Nobody { client_ack } = *progress {
+        log(out, flow, "reset: no agent holds the flow");
+        out.push(Effect::Reset { flow, seq: client_ack });
+    }
+}
+
+fn tell(out: &mut Vec<Effect>, to: Ipv4Addr, note: Note) {
+    out.push(Effect::Tell { to, note });
+}
+
+fn log(out: &mut Vec<Effect>, flow: Flow, event: &'static str) {
+    out.push(Effect::Log { flow, event });
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -0,0 +1,258 @@
+//! Nodes of the system as the store lists them and as they report to one another.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::state::roster::Role;
+
+/// Silence after which an agent gets no new flows: three reports are missing.
+const SUSPECT_AFTER: Duration = Duration::from_millis(700);
+/// Silence after which waiting for a node no longer helps the clients of its flows.
+const LOST_AFTER: Duration = Duration::from_millis(1_200);
+/// Silence after which a node that the store does not list is dropped.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+/// How long a planned restart of a process may take: the grace of the platform and the start.
+const RESTART: Duration = Duration::from_secs(8);
+
+/// What a node wants to be used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stance {
+    /// Not all peers know the node yet, or its backend server has not been heard.
+    Joining,
+    /// Takes new flows.
+    Open,
+    /// Keeps its flows and takes no new ones.
+    Draining,
+    /// The process restarts; its backend server and its flows stay.
+    Restarting,
+    /// The node and its backend server end.
+    Leaving,
+}
+
+/// What a node tells the others of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Role of the node.
+    pub role: Role,
+    /// Drawn at the start of the process.
+    pub incarnation: u64,
+    /// Number of the report within the incarnation.
+    pub number: u64,
+    /// Data centre.
+    pub data_centre: Bytes,
+    /// Service of the backend server beside an agent; empty for a balancer.
+    pub service: Bytes,
+    /// Use of the node.
+    pub stance: Stance,
+    /// Load of an agent.
+    pub load: Load,
+    /// Version of the configuration that the node routes by.
+    pub version: u64,
+    /// Whether the sender has not heard the receiver yet and asks for a report in return.
+    pub greeting: bool,
+}
+
+/// Load of the backend server beside an agent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Requests in progress.
+    pub busy: u32,
+    /// Open flows.
+    pub flows: u32,
+    /// Whether the backend server is slow after its start.
+    pub cold: bool,
+    /// Mean time of a request relative to the service's agents, in percent; 0 if it is not known.
+    pub latency_ms: u32,
+}
+
+/// A node.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Address of the VM.
+    pub ip: Ipv4Addr,
+    /// Last report, or what the store says.
+    pub report: Report,
+    /// Whether the node itself was heard, and not only listed.
+    pub heard: bool,
+    /// Own placements since the last report.
+    pub placed: u32,
+    suspect_at: Instant,
+    lost_at: Instant,
+    forget_at: Instant,
+    restarting_until: Option<Instant>,
+}
+
+/// Effect of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The node was not known, or another process runs there now.
+    New,
+    /// The stance changed.
+    Stance,
+    /// Only figures changed.
+    Load,
+    /// The report is older than the last one.
+    Stale,
+}
+
+/// All known nodes but the own one.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    nodes: BTreeMap<Ipv4Addr, Member>,
+    generation: u64,
+}
+
+impl Member {
+    fn new(ip: Ipv4Addr, report: Report, now: Instant) -> Self {
+        Self {
+            ip,
+            report,
+            heard: false,
+            placed: 0,
+            suspect_at: now,
+            lost_at: now + LOST_AFTER,
+            forget_at: now + FORGET_AFTER,
+            restarting_until: None,
+        }
+    }
+
+    fn hear(&mut self, now: Instant) {
+        self.heard = true;
+        self.suspect_at = now + SUSPECT_AFTER;
+        self.lost_at = now + LOST_AFTER;
+        self.forget_at = now + FORGET_AFTER;
+    }
+
+    /// Whether the node reported lately.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        now < self.suspect_at
+    }
+
+    /// Whether the node has been silent for so long that its flows should not wait for it.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        now >= self.lost_at && !self.is_restarting(now)
+    }
+
+    /// Whether the process announced a restart.
+    pub fn is_restarting(&self, now: Instant) -> bool {
+        self.restarting_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the node is an agent that takes new flows of a service.
+    pub fn is_open(&self, service: &Bytes, now: Instant) -> bool {
+        self.is_agent(service) && self.report.stance == Stance::Open && self.is_fresh(now)
+    }
+
+    /// Whether the node is an agent of a service.
+    pub fn is_agent(&self, service: &Bytes) -> bool {
+        self.report.role == Role::Agent && self.report.service == *service
+    }
+}
+
+impl Members {
+    /// Takes a report.
+    pub fn report(&mut self, ip: Ipv4Addr, report: Report, now: Instant) -> Change {
+        let Some(known) = self.nodes.get_mut(&ip) else {
+            let mut member = Member::new(ip, report, now);
+            member.hear(now);
+            self.nodes.insert(ip, member);
+            self.generation += 1;
+            return Change::New;
+        };
+        let same_process = known.report.incarnation == report.incarnation;
+        if same_process && known.heard && report.number <= known.report.number {
+            return Change::Stale;
+        }
+        let change = if !same_process || !known.heard {
+            Change::New
+        } else if known.report.stance != report.stance {
+            Change::Stance
+        } else {
+            Change::Load
+        };
+        if change != Change::Load {
+            self.generation += 1;
+        }
+        known.restarting_until = (report.stance == Stance::Restarting).then(|| now + RESTART);
+        known.placed = 0;
+        known.report = report;
+        known.hear(now);
+        change
+    }
+
+    /// Takes the nodes that the store or a peer lists. Nodes that are listed stay known although they are silent.
+    pub fn list(&mut self, listed: impl IntoIterator<Item = (Ipv4Addr, Report)>, now: Instant) -> Vec<Ipv4Addr> {
+        let mut added = Vec::new();
+        for (ip, report) in listed {
+            if let Some(known) = self.nodes.get_mut(&ip) {
+                known.forget_at = known.forget_at.max(now + FORGET_AFTER);
+                continue;
+            }
+            self.nodes.insert(ip, Member::new(ip, report, now));
+            self.generation += 1;
+            added.push(ip);
+        }
+        added
+    }
+
+    /// Drops nodes that left, and silent ones that nobody lists.
+    pub fn expire(&mut self, now: Instant) -> BTreeSet<Ipv4Addr> {
+        let gone = |member: &Member| {
+            now >= member.forget_at || (member.report.stance == Stance::Leaving && !member.is_fresh(now))
+        };
+        let gone: BTreeSet<_> = self
+            .iter()
+            .filter(|member| gone(member))
+            .map(|member| member.ip)
+            .collect();
+        for ip in &gone {
+            self.nodes.remove(ip);
+            self.generation += 1;
+        }
+        gone
+    }
+
+    /// Starts all silence anew after the own process stood still, since it read nothing meanwhile.
+    pub fn resume(&mut self, now: Instant) {
+        for member in self.nodes.values_mut() {
+            member.suspect_at = member.suspect_at.max(now + SUSPECT_AFTER);
+            member.lost_at = member.lost_at.max(now + LOST_AFTER);
+            member.forget_at = member.forget_at.max(now + FORGET_AFTER);
+        }
+    }
+
+    /// A node of an address.
+    pub fn get(&self, ip: Ipv4Addr) -> Option<&Member> {
+        self.nodes.get(&ip)
+    }
+
+    /// Counts a placement until the next report.
+    pub fn count_placement(&mut self, ip: Ipv4Addr) {
+        if let Some(member) = self.nodes.get_mut(&ip) {
+            member.placed += 1;
+        }
+    }
+
+    /// All nodes by address.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.nodes.values()
+    }
+
+    /// Agents of a service, whether they were heard or not.
+    pub fn agents<'a>(&'a self, service: &'a Bytes) -> impl Iterator<Item = &'a Member> {
+        self.iter().filter(move |member| member.is_agent(service))
+    }
+
+    /// Grows with each change of the nodes or their stances.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+}
--- /dev/null
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -0,0 +1,215 @@
+//! Flows that the backend server beside an agent holds.
+
+use std::{
+    collections::HashMap,
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use crate::state::steering::{
+    rank::HOMES,
+    segment::{Flags, Flow, Segment},
+};
+
+/// Idle time after which a flow is dropped from the table. It exceeds the longest idle time that clients are promised.
+const IDLE: Duration = Duration::from_secs(75);
+/// How long an ended flow is kept for late packets.
+const LINGER: Duration = Duration::from_secs(3);
+/// How long a SYN waits for its SYN+ACK and a client's answer.
+const OPENING: Duration = Duration::from_secs(5);
+/// Flows in the table; the platform's backend servers hold 2,000 each.
+const MAX_FLOWS: usize = 16_384;
+/// Distance of an acknowledgment from the backend server's sequence numbers within which it belongs to the same flow.
+/// Initial numbers are random over 32 bits, and less than this is in flight.
+const ACK_WINDOW: u32 = 1 << 22;
+/// Weight of the newest request in the mean time of a request.
+const LATENCY_GAIN: f64 = 0.1;
+
+/// Progress of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The SYN was handed to the backend server.
+    Opening,
+    /// The backend server has answered.
+    Open,
+    /// A peer says that the backend server holds the flow; no packet of it was seen since this process started.
+    Restored,
+    /// An end has closed or reset the flow.
+    Ended,
+}
+
+/// A flow.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry {
+    /// Progress.
+    pub stage: Stage,
+    /// Last acknowledgment of the client.
+    pub client_ack: u32,
+    /// Last sequence number of the backend server.
+    pub server_seq: Option<u32>,
+    /// Balancer that carried the last packet.
+    pub balancer: Option<Ipv4Addr>,
+    /// How often the SYN was passed on before it came here.
+    pub hops: u8,
+    /// When the flow is old enough for pointers; flows of one short request need none.
+    pub point_at: Instant,
+    /// Whether all homes have a pointer to this flow.
+    pub pointed: bool,
+    /// Agents that have a pointer to this flow.
+    pub homes: [Option<Ipv4Addr>; HOMES],
+    /// Start of the request in progress.
+    request: Option<Instant>,
+    discard_at: Instant,
+}
+
+/// All flows of one backend server.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    flows: HashMap<Flow, Entry>,
+    busy: u32,
+    latency_ms: f64,
+}
+
+/// Age at which a flow gets pointers.
+const POINT_AFTER: Duration = Duration::from_millis(150);
+
+impl Table {
+    /// Adds a flow. A full table keeps its flows and takes no others.
+    pub fn insert(&mut self, flow: Flow, stage: Stage, hops: u8, balancer: Option<Ipv4Addr>, now: Instant) -> bool {
+        if self.flows.len() >= MAX_FLOWS && !self.flows.contains_key(&flow) {
+            return false;
+        }
+        self.remove(flow);
+        let lifetime = if stage == Stage::Opening { OPENING } else { IDLE };
+        let entry = Entry {
+            stage,
+            client_ack: 0,
+            server_seq: None,
+            balancer,
+            hops,
+            point_at: now + POINT_AFTER,
+            pointed: false,
+            homes: [None; HOMES],
+            request: None,
+            discard_at: now + lifetime,
+        };
+        self.flows.insert(flow, entry);
+        true
+    }
+
+    /// Removes a flow.
+    pub fn remove(&mut self, flow: Flow) -> Option<Entry> {
+        let entry = self.flows.remove(&flow)?;
+        self.busy -= u32::from(entry.request.is_some());
+        Some(entry)
+    }
+
+    /// Removes all flows.
+    pub fn clear(&mut self) -> Vec<(Flow, Entry)> {
+        self.busy = 0;
+        self.flows.drain().collect()
+    }
+
+    /// A flow.
+    pub fn get(&self, flow: Flow) -> Option<&Entry> {
+        self.flows.get(&flow)
+    }
+
+    /// Takes a packet of a client that does not open a flow. Returns whether the flow is in the table.
+    pub fn client(&mut self, flow: Flow, segment: &Segment, balancer: Option<Ipv4Addr>, now: Instant) -> bool {
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return false;
+        };
+        if entry.server_seq.is_some_and(|seq| !is_near(seq, segment.ack)) {
+            return false;
+        }
+        entry.client_ack = segment.ack;
+        entry.balancer = balancer.or(entry.balancer);
+        entry.discard_at = now + if entry.stage == Stage::Ended { LINGER } else { IDLE };
+        if segment.data_len > 0 && entry.request.is_none() && entry.stage != Stage::Ended {
+            entry.request = Some(now);
+            self.busy += 1;
+        }
+        if segment.flags.contains(Flags::RST) {
+            self.end(flow, now);
+        }
+        true
+    }
+
+    /// Takes a packet of the backend server.
+    pub fn server(&mut self, flow: Flow, segment: &Segment, now: Instant) {
+        if !self.flows.contains_key(&flow) && !self.insert(flow, Stage::Open, 0, None, now) {
+            return;
+        }
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        entry.server_seq = Some(segment.seq);
+        if entry.stage != Stage::Ended {
+            entry.stage = Stage::Open;
+            entry.discard_at = now + IDLE;
+        }
+        if segment.data_len > 0
+            && let Some(start) = entry.request.take()
+        {
+            self.busy -= 1;
+            let ms = (now - start).as_secs_f64() * 1_000.0;
+            self.latency_ms += LATENCY_GAIN * (ms - self.latency_ms);
+        }
+        if segment.flags.contains(Flags::RST) || segment.flags.contains(Flags::FIN) {
+            self.end(flow, now);
+        }
+    }
+
+    fn end(&mut self, flow: Flow, now: Instant) {
+        if let Some(entry) = self.flows.get_mut(&flow) {
+            self.busy -= u32::from(entry.request.take().is_some());
+            entry.stage = Stage::Ended;
+            entry.discard_at = now + LINGER;
+        }
+    }
+
+    /// Drops flows that are over or idle.
+    pub fn expire(&mut self, now: Instant) {
+        let over: Vec<_> = self
+            .flows
+            .iter()
+            .filter(|(_, entry)| now >= entry.discard_at)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in over {
+            self.remove(flow);
+        }
+    }
+
+    /// Flows to change in place.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Flow, &mut Entry)> {
+        self.flows.iter_mut().map(|(flow, entry)| (*flow, entry))
+    }
+
+    /// Requests in progress.
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// Number of flows that are not over.
+    pub fn open(&self) -> u32 {
+        let open = self.flows.values().filter(|entry| entry.stage != Stage::Ended);
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Mean time of a request in milliseconds.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a mean of times is not negative"
+    )]
+    pub fn latency_ms(&self) -> u32 {
+        self.latency_ms as u32
+    }
+}
+
+fn is_near(seq: u32, ack: u32) -> bool {
+    let distance = ack.wrapping_sub(seq);
+    distance < ACK_WINDOW || distance.wrapping_neg() < ACK_WINDOW
+}
