--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -78,13 +78,14 @@
 
 /// Runs a node until it is asked to stop.
 pub async fn run(settings: Settings, platform: Platform) -> io::Result<()> {
+    let recorder = Recorder::open();
     let node = Node::open(settings, platform)?;
     log::info!(
         event = "node.started", ip:% = node.settings.ip, incarnation = node.incarnation;
         "node started"
     );
     spawn_vital("frames", receive_frames(Rc::clone(&node)));
-    spawn_vital("pages", serve_pages(&node)?);
+    spawn_vital("pages", serve_pages(&node, recorder)?);
     monoio::spawn(config::follow(Rc::clone(&node)));
     monoio::spawn(membership::announce(Rc::clone(&node)));
     match node.settings.role() {
@@ -311,7 +312,7 @@
 }
 
 /// Serves the readiness page, the metrics, and the configuration for other nodes.
-fn serve_pages(node: &Rc<Node>) -> io::Result<impl Future<Output = io::Result<()>> + use<>> {
+fn serve_pages(node: &Rc<Node>, recorder: Recorder) -> io::Result<impl Future<Output = io::Result<()>> + use<>> {
     let ready = TcpListener::bind(node.settings.ready)?;
     let calls = TcpListener::bind(SocketAddrV4::new(node.settings.ip, node.settings.port))?;
     let page = Rc::clone(node);
@@ -325,7 +326,6 @@
     }));
     match TcpListener::bind(node.settings.metrics()) {
         Ok(metrics) => {
-            let recorder = Recorder::open();
             monoio::spawn(http::serve(metrics, move |_peer, _request| {
                 let text = recorder.render();
                 async move { http::response(StatusCode::OK, "text/plain; version=0.0.4", text) }
--- a/crates/dogwoodpitch/src/transport/metric.rs
+++ b/crates/dogwoodpitch/src/transport/metric.rs
@@ -1,14 +1,32 @@
 //! Metrics in the Prometheus text format.
+//!
+//! The registry is that of `metrics-util`. The recorder of the Prometheus exporter is not used: it calibrates a clock for up
+//! to 200 ms at its start, and a node that starts again after a power loss has clients waiting.
 
-use std::{fmt, sync::OnceLock};
+use std::{
+    fmt,
+    fmt::Write,
+    sync::{
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics::{Counter, Gauge, Histogram, HistogramFn, Key, KeyName, Metadata, SharedString, Unit};
+use metrics_exporter_prometheus::formatting;
+use metrics_util::{
+    registry::{Registry, Storage},
+    storage,
+};
 
-static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+/// Upper bounds of the buckets of all histograms, in seconds: from a slot's shortest work to the longest deadline.
+const BOUNDS: [f64; 12] = [0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0];
+
+static REGISTRY: OnceLock<Arc<Registry<Key, Cells>>> = OnceLock::new();
 
 /// Recorder of this process.
 #[derive(Clone)]
-pub struct Recorder(PrometheusHandle);
+pub struct Recorder(Arc<Registry<Key, Cells>>);
 
 impl fmt::Debug for Recorder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -19,17 +37,96 @@
 impl Recorder {
     /// Installs the recorder, once a process.
     pub fn open() -> Self {
-        let handle = HANDLE.get_or_init(|| {
-            PrometheusBuilder::new()
-                .install_recorder()
-                .expect("no other metrics recorder is installed")
+        let registry = REGISTRY.get_or_init(|| {
+            let registry = Arc::new(Registry::new(Cells));
+            metrics::set_global_recorder(Self(Arc::clone(&registry))).expect("no other metrics recorder is installed");
+            registry
         });
-        Self(handle.clone())
+        Self(Arc::clone(registry))
     }
 
     /// All metrics as text.
     pub fn render(&self) -> String {
-        self.0.run_upkeep();
-        self.0.render()
+        let mut out = String::new();
+        self.0.visit_counters(|key, cell| {
+            line(&mut out, key, "", None, &cell.load(Ordering::Relaxed));
+        });
+        self.0.visit_gauges(|key, cell| {
+            line(&mut out, key, "", None, &f64::from_bits(cell.load(Ordering::Relaxed)));
+        });
+        self.0.visit_histograms(|key, cell| {
+            let histogram = cell.0.lock().unwrap_or_else(PoisonError::into_inner);
+            for (bound, count) in histogram.buckets() {
+                line(&mut out, key, "_bucket", Some(&bound.to_string()), &count);
+            }
+            line(&mut out, key, "_bucket", Some("+Inf"), &histogram.count());
+            line(&mut out, key, "_sum", None, &histogram.sum());
+            line(&mut out, key, "_count", None, &histogram.count());
+        });
+        out
+    }
+}
+
+fn line(out: &mut String, key: &Key, suffix: &str, bound: Option<&str>, value: &dyn fmt::Display) {
+    let labels = key.labels().map(|label| (label.key(), label.value()));
+    let labels: Vec<_> = labels
+        .chain(bound.map(|bound| ("le", bound)))
+        .map(|(key, value)| {
+            let value = formatting::sanitize_label_value(value);
+            format!("{}=\"{value}\"", formatting::sanitize_label_key(key))
+        })
+        .collect();
+    let name = formatting::sanitize_metric_name(key.name());
+    let labels = labels.join(",");
+    writeln!(out, "{name}{suffix}{{{labels}}} {value}").expect("writing to a string does not fail");
+}
+
+impl metrics::Recorder for Recorder {
+    fn describe_counter(&self, _key: KeyName, _unit: Option<Unit>, _description: SharedString) {}
+
+    fn describe_gauge(&self, _key: KeyName, _unit: Option<Unit>, _description: SharedString) {}
+
+    fn describe_histogram(&self, _key: KeyName, _unit: Option<Unit>, _description: SharedString) {}
+
+    fn register_counter(&self, key: &Key, _metadata: &Metadata<'_>) -> Counter {
+        self.0.get_or_create_counter(key, |cell| Arc::clone(cell).into())
+    }
+
+    fn register_gauge(&self, key: &Key, _metadata: &Metadata<'_>) -> Gauge {
+        self.0.get_or_create_gauge(key, |cell| Arc::clone(cell).into())
+    }
+
+    fn register_histogram(&self, key: &Key, _metadata: &Metadata<'_>) -> Histogram {
+        self.0.get_or_create_histogram(key, |cell| Arc::clone(cell).into())
+    }
+}
+
+/// Storage of the registry: memory is bounded whatever is recorded.
+struct Cells;
+
+struct Buckets(Mutex<storage::Histogram>);
+
+impl HistogramFn for Buckets {
+    fn record(&self, value: f64) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).record(value);
+    }
+}
+
+impl Storage<Key> for Cells {
+    type Counter = Arc<AtomicU64>;
+    type Gauge = Arc<AtomicU64>;
+    type Histogram = Arc<Buckets>;
+
+    fn counter(&self, _key: &Key) -> Self::Counter {
+        Arc::default()
+    }
+
+    fn gauge(&self, _key: &Key) -> Self::Gauge {
+        Arc::default()
+    }
+
+    fn histogram(&self, _key: &Key) -> Self::Histogram {
+        let histogram = storage::Histogram::new(&BOUNDS).expect("there are bounds");
+        Arc::new(Buckets(Mutex::new(histogram)))
     }
 }
