Let starting agents take flows, and keep the flows of a draining backend server

Cause: after a loss of power SYNs were reset as long as no agent was open (first heartbeat up to 1.7 s after the start), and each reset cost the client one of three tries. Change: an agent takes flows before the first heartbeat; its backend server counts as up when its address accepts a connection; in a mass start joining agents share the load; a SYN is dropped rather than reset while agents start. A refused connection ends a draining backend server only 200 ms after its word or 1.5 s after the first refusal.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -33,6 +33,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks until the backend server is up.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Ticks that an agent serves on after it was asked to stop, so that short requests end before its process does.
 const STOP_TICKS: u64 = 10;
 /// Ticks until the word that the agent leaves has reached the others, with a repetition.
@@ -97,7 +99,8 @@
                 log::debug!(event = "backend.heartbeat", number = beat.number, outcome:? = outcome; "heartbeat");
             }
             Word::Leave(id) => {
-                agent.leave(&id, now);
+                let present = agent.backend.leave(&id, now);
+                log::info!(event = "backend.leaves", present; "backend server says that it ends");
             }
         }
         (before, agent.stance(now))
@@ -253,26 +256,45 @@
     }
 }
 
-/// Finds out quickly that the backend server has ended without a word: its address then refuses connections.
+/// Finds out quickly that the backend server is up after a start, or that it has ended without a word: its address then
+/// accepts or refuses connections.
 async fn check_backend(node: Rc<Node>, beside: Beside) {
+    let mut interval = START_CHECK_INTERVAL;
     loop {
-        time::sleep_until(Instant::now() + CHECK_INTERVAL).await;
         let now = Instant::now();
         let silent = node.unanswered_since.get().is_some_and(|since| now >= since + SILENCE);
-        let state = with(&node, |agent, _| (agent.backend.is_down(), agent.backend.phase(now)));
-        let Some(((down, phase), _)) = state else { return };
-        if down || !(silent || phase == Phase::Draining) {
-            continue;
-        }
-        let connect = TcpStream::connect(beside.backend);
-        let refused = match time::before(now + CHECK_TIMEOUT, connect).await {
-            Some(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            Some(Ok(_)) | None => false,
+        let state = with(&node, |agent, _| (agent.backend.is_heard(), agent.backend.phase(now)));
+        let Some(((heard, phase), _)) = state else { return };
+        let due = match phase {
+            Phase::Ready => silent,
+            Phase::Draining => true,
+            Phase::Down => !heard,
         };
-        if refused && let Some(((), out)) = with(&node, |agent, out| agent.backend_refused(out)) {
-            log::warn!(event = "backend.refused", backend:% = beside.backend; "backend server has ended");
-            execute(&node, &out, &[]);
-            node.report_to(|_role| true);
+        if due {
+            let connect = TcpStream::connect(beside.backend);
+            let answer = time::before(now + CHECK_TIMEOUT, connect).await;
+            take_check(&node, answer.map(|answer| answer.map(drop)));
+        }
+        if heard || phase == Phase::Ready {
+            interval = CHECK_INTERVAL;
         }
+        time::sleep_until(Instant::now() + interval).await;
+    }
+}
+
+fn take_check(node: &Rc<Node>, answer: Option<io::Result<()>>) {
+    let now = Instant::now();
+    let result = with(node, |agent, out| match answer {
+        Some(Ok(())) => agent.backend.accepted(now),
+        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            if agent.refused(now, out) {
+                log::warn!(event = "backend.refused"; "backend server has ended");
+            }
+        }
+        // No answer in time, or another error: it may be slow, and says so by its heartbeats.
+        Some(Err(_)) | None => {}
+    });
+    if let Some(((), out)) = result {
+        execute(node, &out, &[]);
     }
 }
--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -142,7 +142,7 @@
         match http::call(address, Instant::now() + PULL_TIMEOUT, request).await {
             Ok((_, document)) => apply(&node, &document, "peer"),
             Err(error) => {
-                log::warn!(event = "config.pull_failed", peer:% = peer, error:% = error; "peer did not answer")
+                log::warn!(event = "config.pull_failed", peer:% = peer, error:% = error; "peer did not answer");
             }
         }
         node.config.pulling.set(false);
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -17,7 +17,7 @@
 
 /// Time to live of an announcement. Life is judged by reports between nodes; the lease only removes entries of VMs that
 /// never come back, and outlasts an outage of the store.
-const LEASE_TTL: Duration = Duration::from_secs(60);
+const LEASE_TTL: Duration = Duration::from_mins(1);
 /// Time between renewals: two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_secs(18);
 /// Time for one call.
@@ -34,6 +34,9 @@
 /// Announces the node and reads the list of the others, as long as the process runs.
 pub(super) async fn announce(node: Rc<Node>) {
     node.greet(node.settings.seeds());
+    if let Err(error) = list(&node, false).await {
+        log::warn!(event = "store.unavailable", call = "list", error:% = error; "others cannot be listed yet");
+    }
     let mut pause = MIN_PAUSE;
     let mut renew_at = Instant::now();
     let mut stale = false;
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -51,7 +51,7 @@
     /// Balancer.
     Balancer(Balancer),
     /// Agent.
-    Agent(Agent),
+    Agent(Box<Agent>),
 }
 
 /// A running node.
@@ -102,7 +102,7 @@
         let now = Instant::now();
         let state = match &settings.beside {
             None => State::Balancer(Balancer::new(settings.data_centre.clone(), settings.cache_capacity())),
-            Some(beside) => State::Agent(Agent::new(
+            Some(beside) => State::Agent(Box::new(Agent::new(
                 Identity {
                     ip: settings.ip,
                     data_centre: settings.data_centre.clone(),
@@ -111,7 +111,7 @@
                 },
                 Duration::from_millis(beside.heartbeat_interval_ms.into()),
                 now,
-            )),
+            ))),
         };
         let packets = settings
             .beside
@@ -353,7 +353,7 @@
         time::sleep_until(next).await;
         let now = Instant::now();
         if now > next + STALL {
-            log::warn!(event = "node.stalled", ms = (now - next).as_millis() as u64; "the process stood still");
+            log::warn!(event = "node.stalled", ms:? = (now - next).as_millis(); "the process stood still");
             node.members.borrow_mut().resume(now);
             next = now;
         }
@@ -369,15 +369,15 @@
     }
     agent::tick(node, &gone, now);
     if let State::Balancer(balancer) = &mut *node.state.borrow_mut()
-        && count % REPORT_TICKS == 0
+        && count.is_multiple_of(REPORT_TICKS)
     {
         balancer.expire(now);
     }
     let report = node.report(false);
     let changed = node.last_stance.replace(report.stance) != report.stance;
-    if changed || count % REPORT_TICKS == 0 {
+    if changed || count.is_multiple_of(REPORT_TICKS) {
         node.report_to(|_role| true);
-    } else if node.settings.role() == Role::Agent && count % LOAD_TICKS == 0 {
+    } else if node.settings.role() == Role::Agent && count.is_multiple_of(LOAD_TICKS) {
         node.report_to(|role| role == Role::Balancer);
     }
     node.flush();
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -31,8 +31,6 @@
 const START_SLACK_MS: u64 = 500;
 /// Time until peers have heard of a new agent, so that a search for one of its flows asks it.
 const JOIN: Duration = Duration::from_millis(600);
-/// Time between the word of a backend server that it ends and its end.
-const LEAVE: Duration = Duration::from_millis(300);
 /// Flows in one note; it must fit into a datagram.
 const NOTE_FLOWS: usize = 80;
 /// Pointers to flows of siblings.
@@ -163,7 +161,6 @@
     searches: Searches,
     trials: HashMap<Flow, Trial>,
     full_until: Instant,
-    ends_at: Option<Instant>,
     pointed_generation: u64,
 }
 
@@ -205,7 +202,6 @@
             searches: Searches::default(),
             trials: HashMap::new(),
             full_until: now,
-            ends_at: None,
             pointed_generation: 0,
         }
     }
@@ -213,7 +209,8 @@
     /// What this agent wants to be used for.
     pub fn stance(&self, now: Instant) -> Stance {
         match self.backend.phase(now) {
-            _ if self.stopping && self.backend.phase(now) == Phase::Down => Stance::Leaving,
+            Phase::Down if self.stopping => Stance::Leaving,
+            _ if self.stopping && self.backend.has_left() => Stance::Leaving,
             _ if self.stopping => Stance::Restarting,
             Phase::Down if self.backend.is_heard() => Stance::Draining,
             Phase::Down => Stance::Joining,
@@ -246,7 +243,6 @@
         if outcome != Outcome::Started {
             return outcome;
         }
-        self.ends_at = None;
         if first {
             // A backend server that started with this process or later has opened no flow without it.
             let started_with = |started_ms| started_ms + START_SLACK_MS >= self.started_ms;
@@ -261,19 +257,14 @@
         outcome
     }
 
-    /// Takes the word of the backend server that it ends now.
-    pub fn leave(&mut self, id: &Bytes, now: Instant) -> bool {
-        let leaves = self.backend.leave(id);
-        if leaves {
-            self.ends_at = Some(now + LEAVE);
+    /// The backend server's address refused a connection. Returns whether the backend server has ended, and with it its
+    /// flows.
+    pub fn refused(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
+        let ended = self.backend.refused(now);
+        if ended {
+            self.end_flows(out);
         }
-        leaves
-    }
-
-    /// The backend server's address refused a connection: it has ended, and so have its flows.
-    pub fn backend_refused(&mut self, out: &mut Vec<Effect>) {
-        self.backend.refused();
-        self.end_flows(out);
+        ended
     }
 
     fn end_flows(&mut self, out: &mut Vec<Effect>) {
@@ -306,13 +297,10 @@
             return;
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.stage != Stage::Ended);
-        let takes = self.backend.phase(now) == Phase::Ready && !self.stopping && now >= self.full_until;
-        if !known
-            && !(takes
-                && self
-                    .table
-                    .insert(flow, Stage::Opening, via.hops, Some(via.balancer), now))
-        {
+        let takes = self.may_take(now) && now >= self.full_until;
+        let balancer = Some(via.balancer);
+        let taken = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
+        if !taken {
             self.divert(flow, via.origin(), members, now, out);
             return;
         }
@@ -323,6 +311,11 @@
         }
     }
 
+    /// Whether the backend server takes new flows. One that has not been heard since this process started may.
+    fn may_take(&self, now: Instant) -> bool {
+        !self.stopping && (self.backend.phase(now) == Phase::Ready || !self.backend.is_heard())
+    }
+
     fn may_serve(&self, flow: Flow, version: u64) -> bool {
         match self.routes.get(flow.service) {
             Some(route) => route.allows(&self.service) || version > self.routes.version,
@@ -343,6 +336,9 @@
                     balancer: from.balancer,
                 });
             }
+            None if members.iter().any(|member| member.is_starting(&self.service, now)) => {
+                log(out, flow, "drop: agents are starting");
+            }
             _ => {
                 log(out, flow, "reset: no backend server takes the flow");
                 out.push(Effect::Reset { flow, seq: 0 });
@@ -435,7 +431,8 @@
 
     /// Whether only the backend server can tell if it holds a flow that is not in the table.
     fn needs_trial(&self) -> bool {
-        !self.complete && !(self.backend.is_heard() && self.backend.is_down())
+        let ended = self.backend.is_heard() && self.backend.is_down();
+        !self.complete && !ended
     }
 
     fn try_out(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant) {
@@ -569,10 +566,6 @@
 
     /// Does what time brings: pointers to new flows, ends of old ones.
     pub fn tick(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        if self.ends_at.is_some_and(|ends_at| now >= ends_at) {
-            self.ends_at = None;
-            self.end_flows(out);
-        }
         if now >= self.started + COMPLETE_AFTER {
             self.complete = true;
         }
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -9,6 +9,13 @@
 /// Silence after which a lifetime with an earlier start may replace the present one: its clock was set back.
 const CLOCK_SET_BACK: Duration = Duration::from_secs(3);
 
+/// Time between the word of a backend server that it ends and its end.
+const EXIT: Duration = Duration::from_millis(200);
+/// Longest time that a draining backend server serves its flows with a closed port.
+const CLOSED_PORT: Duration = Duration::from_millis(1_500);
+/// Slots of a backend server that accepts connections but has not told them yet.
+const ASSUMED_SLOTS: u32 = 4;
+
 /// What a backend server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -54,6 +61,10 @@
     lifetime: Option<Lifetime>,
     /// Phase by its own word.
     phase: Phase,
+    /// When a backend server that said that it ends has ended.
+    gone_at: Option<Instant>,
+    /// When refused connections mean that a draining backend server has ended without a word.
+    refused_until: Option<Instant>,
     /// Requests that run at the same time.
     pub slots: u32,
     /// When the backend server reaches its full speed.
@@ -76,6 +87,8 @@
         Self {
             lifetime: None,
             phase: Phase::Down,
+            gone_at: None,
+            refused_until: None,
             slots: 0,
             warm_at: now,
             silent_at: now,
@@ -95,6 +108,10 @@
             number: beat.number,
             heard: now,
         });
+        if outcome == Outcome::Started {
+            self.gone_at = None;
+            self.refused_until = None;
+        }
         // A drain is never taken back within a lifetime.
         let drained = outcome == Outcome::Continued && self.phase == Phase::Draining;
         self.phase = if beat.draining || drained {
@@ -126,18 +143,46 @@
         Outcome::Started
     }
 
-    /// Takes the word that a lifetime ends. Returns whether it is the present one.
-    pub fn leave(&mut self, id: &Bytes) -> bool {
+    /// The address accepts connections before the first heartbeat of the backend server: it is up, and how it is shows
+    /// with the heartbeat.
+    pub fn accepted(&mut self, now: Instant) {
+        self.refused_until = None;
+        if self.lifetime.is_none() {
+            self.phase = Phase::Ready;
+            self.slots = ASSUMED_SLOTS;
+            self.silent_at = now + self.heartbeat_interval * MISSED_HEARTBEATS;
+        }
+    }
+
+    /// Takes the word that a lifetime is about to end. Its flows last until its address refuses connections. Returns
+    /// whether it is the present one.
+    pub fn leave(&mut self, id: &Bytes, now: Instant) -> bool {
         let present = self.lifetime.as_ref().is_some_and(|lifetime| lifetime.id == *id);
-        if present {
-            self.phase = Phase::Down;
+        if present && self.phase != Phase::Down {
+            self.phase = Phase::Draining;
+            self.gone_at = Some(now + EXIT);
         }
         present
     }
 
-    /// The address of the backend server refuses packets: it has ended.
-    pub fn refused(&mut self) {
-        self.phase = Phase::Down;
+    /// Whether the present lifetime has said that it ends.
+    pub fn has_left(&self) -> bool {
+        self.gone_at.is_some()
+    }
+
+    /// The address of the backend server refused a connection. Returns whether that means its end: a draining one closes
+    /// its port a little before it ends, and its flows are served meanwhile.
+    pub fn refused(&mut self, now: Instant) -> bool {
+        let refused_until = *self.refused_until.get_or_insert(now + CLOSED_PORT);
+        let ended = match self.phase {
+            Phase::Ready => true,
+            Phase::Draining => now >= self.gone_at.unwrap_or(refused_until),
+            Phase::Down => false,
+        };
+        if ended {
+            self.phase = Phase::Down;
+        }
+        ended
     }
 
     /// Phase at a time. A backend server without heartbeats takes no new flows but keeps its open ones.
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -113,33 +113,7 @@
                 reason: "placed",
             };
         }
-        self.open_anyway(segment, service, members, now)
-    }
-
-    /// No agent reports that it takes new flows. Agents that were only listed, after a start, may take them all the
-    /// same; if all are known not to, the client should try again elsewhere at once.
-    fn open_anyway(&self, segment: &Segment, service: &Bytes, members: &Members, now: Instant) -> Decision {
-        let flow = segment.from_client();
-        let unheard = members
-            .agents(service)
-            .filter(|member| !member.is_fresh(now))
-            .map(|member| member.ip);
-        if let [Some(to), _] = rank::homes(flow, unheard) {
-            return Decision::Forward {
-                to,
-                guessed: true,
-                reason: "no_agent_heard",
-            };
-        }
-        if members.agents(service).next().is_none() {
-            return Decision::Drop {
-                reason: "no_agent_known",
-            };
-        }
-        Decision::Reset {
-            seq: 0,
-            reason: "no_agent_open",
-        }
+        open_anyway(segment, service, members, now)
     }
 
     fn follow(&mut self, segment: &Segment, members: &Members, now: Instant) -> Decision {
@@ -234,6 +208,41 @@
     }
 }
 
+/// No agent reports that it takes new flows. After a start of the whole system those that have not been heard may
+/// take them all the same, and each copy of a SYN tries another one. A reset would cost the client one of its few
+/// tries, so it is sent only if all agents are known to refuse.
+fn open_anyway(segment: &Segment, service: &Bytes, members: &Members, now: Instant) -> Decision {
+    let flow = segment.from_client();
+    let starting = |member: &&Member| member.is_starting(service, now);
+    let (heard, unheard): (Vec<_>, Vec<_>) = members
+        .iter()
+        .filter(starting)
+        .partition(|member| member.heard && member.is_fresh(now));
+    let tried = if heard.is_empty() { unheard } else { heard };
+    let mut ranked: Vec<_> = tried
+        .iter()
+        .map(|member| (rank::weight(flow, member.ip), member.ip))
+        .collect();
+    ranked.sort_unstable();
+    if !ranked.is_empty() {
+        let (_, to) = ranked[segment.ack as usize % ranked.len()];
+        return Decision::Forward {
+            to,
+            guessed: true,
+            reason: "agent_starting",
+        };
+    }
+    if members.agents(service).next().is_none() {
+        return Decision::Drop {
+            reason: "no_agent_known",
+        };
+    }
+    Decision::Reset {
+        seq: 0,
+        reason: "no_agent_open",
+    }
+}
+
 #[expect(clippy::cast_precision_loss, reason = "agents of a service are few")]
 fn has_quorum(members: &Members, service: &Bytes, now: Instant) -> bool {
     let known = members.agents(service).count();
