--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -299,8 +299,8 @@
         let known = self.table.get(flow).is_some_and(|entry| entry.stage != Stage::Ended);
         let takes = self.may_take(now) && now >= self.full_until;
         let balancer = Some(via.balancer);
-        let taken = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
-        if !taken {
+        let accepted = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
+        if !accepted {
             self.divert(flow, via.origin(), members, now, out);
             return;
         }
