Place by load among joining agents after a mass start

Cause: after a loss of power all agents are joining for 0.6 s, and their slots are not reported yet, so flows were placed by hash. Change: joining agents that were heard are candidates like open ones; unknown slots count as four. What binds: about 0.3 s until all balancers are up, and aims of 200 to 300 ms, which one retransmission misses.

--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -208,19 +208,13 @@
     }
 }
 
-/// No agent reports that it takes new flows. After a start of the whole system those that have not been heard may
+/// No agent reports that it takes new flows. After a start of the balancer those that have not been heard may
 /// take them all the same, and each copy of a SYN tries another one. A reset would cost the client one of its few
 /// tries, so it is sent only if all agents are known to refuse.
 fn open_anyway(segment: &Segment, service: &Bytes, members: &Members, now: Instant) -> Decision {
     let flow = segment.from_client();
-    let starting = |member: &&Member| member.is_starting(service, now);
-    let (heard, unheard): (Vec<_>, Vec<_>) = members
-        .iter()
-        .filter(starting)
-        .partition(|member| member.heard && member.is_fresh(now));
-    let tried = if heard.is_empty() { unheard } else { heard };
-    let mut ranked: Vec<_> = tried
-        .iter()
+    let starting = members.iter().filter(|member| member.is_starting(service, now));
+    let mut ranked: Vec<_> = starting
         .map(|member| (rank::weight(flow, member.ip), member.ip))
         .collect();
     ranked.sort_unstable();
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -151,10 +151,9 @@
         self.is_agent(service) && self.report.stance == Stance::Open && self.is_fresh(now)
     }
 
-    /// Whether the node is an agent whose backend server takes flows of a service, but that not all nodes may know yet.
+    /// Whether the node is an agent of a service that was heard lately and is not ready for new flows yet.
     pub fn is_joining(&self, service: &Bytes, now: Instant) -> bool {
-        let joining = self.report.stance == Stance::Joining && self.report.load.slots > 0;
-        self.is_agent(service) && joining && self.is_fresh(now)
+        self.is_agent(service) && self.report.stance == Stance::Joining && self.is_fresh(now)
     }
 
     /// Whether the node is an agent that will soon take new flows of a service, or may do so unheard.
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -8,6 +8,8 @@
 const IDLE_FLOW_WORK: f64 = 0.05;
 /// Speed of a backend server that has just started, relative to a warm one.
 const COLD_SPEED: f64 = 0.5;
+/// Slots of a backend server whose agent does not know them yet.
+const UNKNOWN_SLOTS: u32 = 4;
 /// How much fuller a backend server of the own data centre may be before another data centre is used, as a share of its
 /// slots. Bytes between data centres cost money, and a round trip is short beside a queue.
 const NEAR_PREFERENCE: f64 = 0.15;
@@ -32,7 +34,12 @@
     /// Work that is waiting or in progress, relative to the speed of the backend server.
     pub fn pressure(&self) -> f64 {
         let speed = if self.load.cold { COLD_SPEED } else { 1.0 };
-        let slots = f64::from(self.load.slots.max(1)) * speed;
+        let slots = if self.load.slots == 0 {
+            UNKNOWN_SLOTS
+        } else {
+            self.load.slots
+        };
+        let slots = f64::from(slots) * speed;
         let idle = self.load.flows.saturating_sub(self.load.busy);
         let work = f64::from(self.load.busy) + f64::from(self.placed) + IDLE_FLOW_WORK * f64::from(idle);
         work / slots
