Keep newcomers from resetting the flows of others

Their backend servers answer a packet of a flow that they never held with a reset instead of returning it, and the agent passed that on; traced by a log of each frame and return. Besides, an agent that had not read the list of nodes could end a search with too few siblings asked. Change: a reset of the backend server is passed on only for a flow in the table, and answers a search with a denial otherwise; a search before the announcement proves nothing; balancers prefer settled agents as homes.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -226,6 +226,11 @@
     }
 }
 
+/// The node is in the store's list and has read it.
+pub(super) fn announced(node: &Node) {
+    with(node, |agent, _| agent.announced());
+}
+
 /// Does what time brings.
 pub(super) fn tick(node: &Rc<Node>, gone: &BTreeSet<Ipv4Addr>, now: Instant) {
     let members = node.members.borrow();
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -42,12 +42,14 @@
     let mut stale = false;
     loop {
         let now = Instant::now();
-        let result = async {
+        let result: Result<(), Error> = async {
             if now >= renew_at {
                 renew(&node).await?;
                 renew_at = now + RENEW_INTERVAL;
             }
-            list(&node, stale).await
+            list(&node, stale).await?;
+            super::agent::announced(&node);
+            Ok(())
         }
         .await;
         let next = match result {
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -17,7 +17,7 @@
     rank,
     route::{Retry, Table as Routes},
     search::{Progress, Searches},
-    segment::{Flow, Segment},
+    segment::{Flags, Flow, Segment},
     table::{Entry, Stage, Table},
 };
 
@@ -29,8 +29,10 @@
 const COMPLETE_AFTER: Duration = Duration::from_secs(75);
 /// Difference between the clocks' readings of two starts on one VM that still counts as the same moment.
 const START_SLACK_MS: u64 = 500;
-/// Time until peers have heard of a new agent, so that a search for one of its flows asks it.
+/// Time until peers have heard of an announced agent, so that a search for one of its flows asks it.
 const JOIN: Duration = Duration::from_millis(600);
+/// Time after which an agent that could not be announced relies on its greetings alone: the store is down.
+const JOIN_UNANNOUNCED: Duration = Duration::from_secs(3);
 /// Flows in one note; it must fit into a datagram.
 const NOTE_FLOWS: usize = 80;
 /// Pointers to flows of siblings.
@@ -150,6 +152,8 @@
     started_ms: u64,
     /// Whether the table holds all flows of the backend server.
     complete: bool,
+    /// Whether this agent is announced and has read the list of all others since.
+    announced: bool,
     stopping: bool,
     /// Backend server beside the agent.
     pub backend: Backend,
@@ -194,6 +198,7 @@
             started: now,
             started_ms: identity.started_ms,
             complete: false,
+            announced: false,
             stopping: false,
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
@@ -215,11 +220,20 @@
             Phase::Down if self.backend.is_heard() => Stance::Draining,
             Phase::Down => Stance::Joining,
             Phase::Draining => Stance::Draining,
-            Phase::Ready if now < self.started + JOIN => Stance::Joining,
+            Phase::Ready if now < self.joined_at() => Stance::Joining,
             Phase::Ready => Stance::Open,
         }
     }
 
+    fn joined_at(&self) -> Instant {
+        self.started + if self.announced { JOIN } else { JOIN_UNANNOUNCED }
+    }
+
+    /// The others can find this agent in the store, and this agent knows all that were there before it.
+    pub fn announced(&mut self) {
+        self.announced = true;
+    }
+
     /// Load for the report.
     pub fn load(&self, now: Instant) -> Load {
         Load {
@@ -390,6 +404,10 @@
         if on_trial {
             asked.insert(self.ip);
         }
+        if !self.announced {
+            // Siblings may be missing among the known ones, so this search cannot prove that nobody holds the flow.
+            asked.insert(Ipv4Addr::UNSPECIFIED);
+        }
         if !self.searches.begin(flow, asked.clone(), segment.ack, now) {
             return;
         }
@@ -399,7 +417,7 @@
             out.push(Effect::Deliver);
         }
         let balancer = from.balancer;
-        let siblings = asked.into_iter().filter(|ip| *ip != self.ip);
+        let siblings = asked.into_iter().filter(|ip| *ip != self.ip && !ip.is_unspecified());
         out.extend(siblings.map(|to| Effect::Ask { to, balancer }));
         self.give_up_on_lost(flow, members, now, out);
         self.settle(flow, now, out);
@@ -473,12 +491,7 @@
             return;
         }
         if let Some(trial) = self.trials.remove(&flow) {
-            if trial.asker == self.ip {
-                let progress = self.searches.deny(flow, self.ip, now);
-                reset_if_nobody(flow, &progress, out);
-            } else {
-                tell(out, trial.asker, Note::Deny(flow));
-            }
+            self.deny(flow, trial.asker, now, out);
             return;
         }
         match self.table.remove(flow) {
@@ -496,9 +509,18 @@
     /// Takes a packet that the backend server sends to a client.
     pub fn returned(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_backend();
+        let trial = self.trials.remove(&flow);
+        if segment.flags.contains(Flags::RST) && self.table.get(flow).is_none() {
+            // A backend server that has just started resets flows that it never held; another one may hold this flow.
+            log(out, flow, "drop: reset of a flow that is not in the table");
+            if let Some(trial) = trial {
+                self.deny(flow, trial.asker, now, out);
+            }
+            return;
+        }
         self.table.server(flow, segment, now);
         out.push(Effect::Return);
-        if let Some(trial) = self.trials.remove(&flow) {
+        if let Some(trial) = trial {
             self.searches.claim(flow);
             if trial.asker != self.ip {
                 tell(out, trial.asker, Note::Claim(flow));
@@ -506,6 +528,16 @@
         }
     }
 
+    /// Answers a search: the backend server does not hold the flow.
+    fn deny(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant, out: &mut Vec<Effect>) {
+        if asker == self.ip {
+            let progress = self.searches.deny(flow, self.ip, now);
+            reset_if_nobody(flow, &progress, out);
+        } else {
+            tell(out, asker, Note::Deny(flow));
+        }
+    }
+
     /// Takes a note of another node.
     pub fn note(&mut self, sender: Ipv4Addr, note: Note, now: Instant, out: &mut Vec<Effect>) {
         match note {
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -145,17 +145,13 @@
                 reason: "owner_lost",
             };
         }
-        let fresh = members
-            .agents(service)
-            .filter(|member| member.is_fresh(now))
-            .map(|member| member.ip);
-        match rank::homes(flow, fresh) {
-            [Some(to), _] => Decision::Forward {
+        match home(flow, service, members, now) {
+            Some(to) => Decision::Forward {
                 to,
                 guessed: true,
                 reason: "home",
             },
-            _ => match lost {
+            None => match lost {
                 Some(to) => Decision::Forward {
                     to,
                     guessed: true,
@@ -208,6 +204,14 @@
     }
 }
 
+/// Agent that finds the owner of a flow. One that has just started does not know all others yet.
+fn home(flow: Flow, service: &Bytes, members: &Members, now: Instant) -> Option<Ipv4Addr> {
+    let fresh = || members.agents(service).filter(|member| member.is_fresh(now));
+    let settled = fresh().filter(|member| !member.is_joining(service, now));
+    let [home, _] = rank::homes(flow, settled.map(|member| member.ip));
+    home.or_else(|| rank::homes(flow, fresh().map(|member| member.ip))[0])
+}
+
 /// No agent reports that it takes new flows. After a start of the balancer those that have not been heard may
 /// take them all the same, and each copy of a SYN tries another one. A reset would cost the client one of its few
 /// tries, so it is sent only if all agents are known to refuse.
