--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -14,7 +14,7 @@
 use crate::{
     coordination::steering::{
         Beside, Word,
-        node::{Node, State},
+        node::{Node, State, reject},
         spawn_vital,
     },
     protocol::steer::{Header, Kind, Message},
@@ -22,7 +22,7 @@
         agent::{Agent, Effect, Via},
         backend::Phase,
         member::Stance,
-        segment::Flags,
+        segment::{Flags, Flow},
     },
     transport::{http, time},
 };
@@ -55,7 +55,7 @@
             let body = match http::collect(body).await {
                 Ok(body) => body,
                 Err(error) => {
-                    node.reject(node.settings.ip, &error.to_string());
+                    reject(node.settings.ip, &error.to_string());
                     return http::response(StatusCode::BAD_REQUEST, "text/plain", "the body cannot be read\n");
                 }
             };
@@ -68,7 +68,7 @@
                     http::response(StatusCode::OK, "application/json", "{}")
                 }
                 Err(error) => {
-                    node.reject(node.settings.ip, &error);
+                    reject(node.settings.ip, &error);
                     http::response(StatusCode::BAD_REQUEST, "text/plain", error)
                 }
             }
@@ -122,7 +122,7 @@
 
 fn from_backend(node: &Rc<Node>, packet: &[u8]) {
     let Some(segment) = (node.platform.codec.decode)(packet) else {
-        node.reject(node.settings.ip, "packet of the backend server is malformed");
+        reject(node.settings.ip, "packet of the backend server is malformed");
         return;
     };
     node.unanswered_since.set(None);
@@ -146,7 +146,7 @@
 /// Takes a client's packet that another node sent here.
 pub(super) fn frame(node: &Rc<Node>, from: Ipv4Addr, header: &Header, packet: &[u8]) {
     let Some(segment) = (node.platform.codec.decode)(packet) else {
-        node.reject(from, "packet in a frame is malformed");
+        reject(from, "packet in a frame is malformed");
         return;
     };
     let now = Instant::now();
@@ -180,24 +180,32 @@
                     node.send_client(*segment.target.ip(), packet);
                 }
             }
+            Effect::Answered(time) => {
+                metrics::histogram!("dogwoodpitch_request_seconds").record(time.as_secs_f64());
+            }
             Effect::Reset { flow, seq } => {
                 metrics::counter!("dogwoodpitch_resets_total").increment(1);
                 node.send_client(*flow.client.ip(), &(node.platform.codec.reset)(*flow, *seq));
             }
             Effect::Tell { to, note } => node.tell(*to, &Message::Note(note.clone())),
-            Effect::Log { flow, event } => {
-                if let Some(suppressed) = node.decisions.admit(Instant::now()) {
-                    log::info!(
-                        event = "flow.decided", client:% = flow.client, service:% = flow.service, decision = event,
-                        suppressed;
-                        "flow decided"
-                    );
-                }
-            }
+            Effect::Log { flow, event } => log_decision(node, flow, event),
         }
     }
 }
 
+fn log_decision(node: &Node, flow: &Flow, decision: &'static str) {
+    metrics::counter!("dogwoodpitch_flows_decided_total", "decision" => decision).increment(1);
+    let now = Instant::now();
+    let Some(((phase, load), _)) = with(node, |agent, _| (agent.backend.phase(now), agent.load(now))) else {
+        return;
+    };
+    log::info!(
+        event = "flow.decided", client:% = flow.client, service:% = flow.service, decision, backend:? = phase,
+        busy = load.busy, slots = load.slots, flows = load.flows, version = node.routes().version;
+        "flow decided"
+    );
+}
+
 fn deliver(node: &Node, packet: &[u8]) {
     if let Some(beside) = &node.settings.beside {
         node.packets.send(beside.backend, &[], packet);
--- a/crates/dogwoodpitch/src/coordination/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/balancer.rs
@@ -3,9 +3,9 @@
 use std::{io, net::Ipv4Addr, rc::Rc, time::Instant};
 
 use crate::{
-    coordination::steering::node::{Node, State},
+    coordination::steering::node::{Node, State, millis, reject},
     protocol::steer::{Header, Kind},
-    state::steering::balancer::Decision,
+    state::steering::{balancer::Decision, segment::Flow},
 };
 
 /// Receives the clients' packets and sends each where the decision says.
@@ -20,7 +20,7 @@
 
 fn forward(node: &Node, from: Ipv4Addr, packet: &[u8]) {
     let Some(segment) = (node.platform.codec.decode)(packet) else {
-        node.reject(from, "packet is malformed");
+        reject(from, "packet is malformed");
         return;
     };
     let now = Instant::now();
@@ -39,37 +39,37 @@
                 version: node.routes().version,
             };
             node.send(to, &header, packet);
-            if reason != "owner"
-                && let Some(suppressed) = node.decisions.admit(now)
-            {
-                log::info!(
-                    event = "packet.placed", client:% = flow.client, service:% = flow.service, agent:% = to, reason,
-                    suppressed;
-                    "packet placed"
-                );
+            if reason != "owner" {
+                log_forward(node, &flow, to, reason, now);
             }
         }
         Decision::Reset { seq, reason } => {
             let reset = (node.platform.codec.reset)(flow, seq);
             node.send_client(*flow.client.ip(), &reset);
-            log_refusal(node, &flow, "reset", reason, now);
+            log_refusal(node, &flow, "reset", reason);
         }
-        Decision::Drop { reason } => log_refusal(node, &flow, "drop", reason, now),
+        Decision::Drop { reason } => log_refusal(node, &flow, "drop", reason),
     }
 }
 
-fn log_refusal(
-    node: &Node,
-    flow: &crate::state::steering::segment::Flow,
-    outcome: &'static str,
-    reason: &'static str,
-    now: Instant,
-) {
+fn log_forward(node: &Node, flow: &Flow, to: Ipv4Addr, reason: &'static str, now: Instant) {
+    metrics::counter!("dogwoodpitch_packets_decided_total", "reason" => reason).increment(1);
+    let members = node.members.borrow();
+    let Some(member) = members.get(to) else { return };
+    let load = member.report.load;
+    log::info!(
+        event = "flow.forwarded", client:% = flow.client, service:% = flow.service, agent:% = to, reason,
+        busy = load.busy, slots = load.slots, flows = load.flows, placed = member.placed,
+        age_ms = millis(member.age(now)), version = node.routes().version;
+        "packet without a known owner sent to an agent"
+    );
+}
+
+fn log_refusal(node: &Node, flow: &Flow, outcome: &'static str, reason: &'static str) {
     metrics::counter!("dogwoodpitch_packets_refused_total", "outcome" => outcome, "reason" => reason).increment(1);
-    if let Some(suppressed) = node.decisions.admit(now) {
-        log::info!(
-            event = "packet.refused", client:% = flow.client, service:% = flow.service, outcome, reason, suppressed;
-            "packet refused"
-        );
-    }
+    log::info!(
+        event = "flow.refused", client:% = flow.client, service:% = flow.service, outcome, reason,
+        version = node.routes().version;
+        "packet refused"
+    );
 }
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -9,7 +9,11 @@
 use rand::RngExt;
 
 use crate::{
-    coordination::{kv::Item, steering::node::Node, store::Error},
+    coordination::{
+        kv::Item,
+        steering::node::{Node, reject},
+        store::Error,
+    },
     protocol::store::NODE,
     state::steering::member::Report,
     transport::time,
@@ -103,7 +107,7 @@
         match parse(&item) {
             Some((ip, report)) if ip != node.settings.ip => listed.push((ip, report)),
             Some(_) => {}
-            None => node.reject(node.settings.ip, "entry of a node in the store is malformed"),
+            None => reject(node.settings.ip, "entry of a node in the store is malformed"),
         }
     }
     let added = node.members.borrow_mut().list(listed, Instant::now());
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -16,7 +16,6 @@
     coordination::steering::{Platform, Settings, agent, balancer, config, membership, spawn_vital},
     protocol::steer::{self, Header, Kind, Message},
     state::{
-        limit::Limit,
         roster::Role,
         steering::{
             agent::{Agent, Identity, Note},
@@ -67,13 +66,11 @@
     pub(super) packets: Socket,
     pub(super) termination: Termination,
     pub(super) lease: Cell<Option<u64>>,
-    pub(super) decisions: Limit,
     /// Since when the backend server has sent nothing although it was given packets.
     pub(super) unanswered_since: Cell<Option<Instant>>,
     incarnation: u64,
     reports: Cell<u64>,
     last_stance: Cell<Stance>,
-    malformed: Limit,
 }
 
 /// Runs a node until it is asked to stop.
@@ -125,12 +122,10 @@
             members: RefCell::default(),
             config: config::Config::default(),
             lease: Cell::new(None),
-            decisions: Limit::default(),
             unanswered_since: Cell::new(None),
             incarnation: rand::random(),
             reports: Cell::new(0),
             last_stance: Cell::new(Stance::Joining),
-            malformed: Limit::default(),
             settings,
             platform,
         }))
@@ -216,7 +211,7 @@
 
     fn frame(self: &Rc<Self>, from: Ipv4Addr, frame: &[u8]) {
         let Some((header, payload)) = Header::decode(frame) else {
-            self.reject(from, "frame is malformed");
+            reject(from, "frame is malformed");
             return;
         };
         if header.kind != Kind::Message {
@@ -232,7 +227,7 @@
                 let added = self.members.borrow_mut().list(others, Instant::now());
                 self.greet(added);
             }
-            Err(error) => self.reject(from, &error.to_string()),
+            Err(error) => reject(from, &error.to_string()),
         }
     }
 
@@ -286,14 +281,6 @@
         }
     }
 
-    /// Counts bytes that cannot be used, and logs some of them.
-    pub(super) fn reject(&self, from: Ipv4Addr, reason: &str) {
-        metrics::counter!("dogwoodpitch_malformed_total").increment(1);
-        if let Some(suppressed) = self.malformed.admit(Instant::now()) {
-            log::warn!(event = "input.rejected", from:% = from, reason, suppressed; "input cannot be used");
-        }
-    }
-
     fn is_ready(&self) -> bool {
         let now = Instant::now();
         let ready = match &*self.state.borrow() {
@@ -353,7 +340,7 @@
         time::sleep_until(next).await;
         let now = Instant::now();
         if now > next + STALL {
-            log::warn!(event = "node.stalled", ms:? = (now - next).as_millis(); "the process stood still");
+            log::warn!(event = "node.stalled", ms = millis(now - next); "the process stood still");
             node.members.borrow_mut().resume(now);
             next = now;
         }
@@ -408,8 +395,18 @@
 }
 
 fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
+/// Counts and logs bytes that cannot be used.
+pub(super) fn reject(from: Ipv4Addr, reason: &str) {
+    metrics::counter!("dogwoodpitch_malformed_total").increment(1);
+    log::warn!(event = "input.rejected", from:% = from, reason; "input cannot be used");
+}
+
+/// Whole milliseconds of a time.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 const _: () = assert!(steer::HEADER_LEN + 1_236 <= MAX_DATAGRAM);
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -119,6 +119,8 @@
     },
     /// Sends the backend server's packet to the client.
     Return,
+    /// The backend server has begun to answer a request after this time.
+    Answered(Duration),
     /// Resets a flow.
     Reset {
         /// Flow.
@@ -518,7 +520,7 @@
             }
             return;
         }
-        self.table.server(flow, segment, now);
+        out.extend(self.table.server(flow, segment, now).map(Effect::Answered));
         out.push(Effect::Return);
         if let Some(trial) = trial {
             self.searches.claim(flow);
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -84,6 +84,7 @@
     pub heard: bool,
     /// Own placements since the last report.
     pub placed: u32,
+    heard_at: Instant,
     suspect_at: Instant,
     lost_at: Instant,
     forget_at: Instant,
@@ -117,6 +118,7 @@
             report,
             heard: false,
             placed: 0,
+            heard_at: now,
             suspect_at: now,
             lost_at: now + LOST_AFTER,
             forget_at: now + FORGET_AFTER,
@@ -126,11 +128,17 @@
 
     fn hear(&mut self, now: Instant) {
         self.heard = true;
+        self.heard_at = now;
         self.suspect_at = now + SUSPECT_AFTER;
         self.lost_at = now + LOST_AFTER;
         self.forget_at = now + FORGET_AFTER;
     }
 
+    /// Age of the last report.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard_at)
+    }
+
     /// Whether the node reported lately.
     pub fn is_fresh(&self, now: Instant) -> bool {
         now < self.suspect_at
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -136,29 +136,31 @@
         true
     }
 
-    /// Takes a packet of the backend server.
-    pub fn server(&mut self, flow: Flow, segment: &Segment, now: Instant) {
-        if !self.flows.contains_key(&flow) && !self.insert(flow, Stage::Open, 0, None, now) {
-            return;
+    /// Takes a packet of the backend server. Returns the time of a request that it begins to answer.
+    pub fn server(&mut self, flow: Flow, segment: &Segment, now: Instant) -> Option<Duration> {
+        if !self.flows.contains_key(&flow) {
+            self.insert(flow, Stage::Open, 0, None, now);
         }
-        let Some(entry) = self.flows.get_mut(&flow) else {
-            return;
-        };
+        let entry = self.flows.get_mut(&flow)?;
         entry.server_seq = Some(segment.seq);
         if entry.stage != Stage::Ended {
             entry.stage = Stage::Open;
             entry.discard_at = now + IDLE;
         }
-        if segment.data_len > 0
-            && let Some(start) = entry.request.take()
-        {
+        let request = if segment.data_len > 0 {
+            entry.request.take()
+        } else {
+            None
+        };
+        let taken = request.map(|start| now.saturating_duration_since(start));
+        if let Some(taken) = taken {
             self.busy -= 1;
-            let ms = (now - start).as_secs_f64() * 1_000.0;
-            self.latency_ms += LATENCY_GAIN * (ms - self.latency_ms);
+            self.latency_ms += LATENCY_GAIN * (taken.as_secs_f64() * 1_000.0 - self.latency_ms);
         }
         if segment.flags.contains(Flags::RST) || segment.flags.contains(Flags::FIN) {
             self.end(flow, now);
         }
+        taken
     }
 
     fn end(&mut self, flow: Flow, now: Instant) {
