--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -266,11 +266,13 @@
             let started_with = |started_ms| started_ms + START_SLACK_MS >= self.started_ms;
             self.complete = beat.started_ms.is_some_and(started_with);
             if self.complete {
-                self.table.clear();
+                self.table.extract(|entry| entry.stage == Stage::Restored);
             }
         } else {
             self.complete = true;
-            self.end_flows(out);
+            // The youngest flows may already be those of the new lifetime; if not, it returns their packets.
+            let younger = now.checked_sub(self.backend.first_heartbeat()).unwrap_or(now);
+            self.end_flows(|entry| entry.opened_at < younger, out);
         }
         outcome
     }
@@ -280,14 +282,14 @@
     pub fn refused(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
         let ended = self.backend.refused(now);
         if ended {
-            self.end_flows(out);
+            self.end_flows(|_entry| true, out);
         }
         ended
     }
 
-    fn end_flows(&mut self, out: &mut Vec<Effect>) {
+    fn end_flows(&mut self, admits: impl Fn(&Entry) -> bool, out: &mut Vec<Effect>) {
         self.trials.clear();
-        for (flow, entry) in self.table.clear() {
+        for (flow, entry) in self.table.extract(admits) {
             if entry.stage == Stage::Open {
                 log(out, flow, "reset: backend server ended");
                 out.push(Effect::Reset {
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Longest time between the start of a backend server and its first heartbeat.
+    pub fn first_heartbeat(&self) -> Duration {
+        self.heartbeat_interval * MISSED_HEARTBEATS
+    }
+
     /// Takes a heartbeat.
     pub fn heartbeat(&mut self, beat: &Heartbeat, now: Instant) -> Outcome {
         let outcome = self.compare(beat, now);
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -51,6 +51,8 @@
     pub balancer: Option<Ipv4Addr>,
     /// How often the SYN was passed on before it came here.
     pub hops: u8,
+    /// When the flow came into the table.
+    pub opened_at: Instant,
     /// When the flow is old enough for pointers; flows of one short request need none.
     pub point_at: Instant,
     /// Whether all homes have a pointer to this flow.
@@ -87,6 +89,7 @@
             server_seq: None,
             balancer,
             hops,
+            opened_at: now,
             point_at: now + POINT_AFTER,
             pointed: false,
             homes: [None; HOMES],
@@ -104,10 +107,14 @@
         Some(entry)
     }
 
-    /// Removes all flows.
-    pub fn clear(&mut self) -> Vec<(Flow, Entry)> {
-        self.busy = 0;
-        self.flows.drain().collect()
+    /// Removes the flows that a test admits.
+    pub fn extract(&mut self, admits: impl Fn(&Entry) -> bool) -> Vec<(Flow, Entry)> {
+        let admitted = self.flows.iter().filter(|(_, entry)| admits(entry));
+        let flows: Vec<_> = admitted.map(|(flow, _)| *flow).collect();
+        flows
+            .into_iter()
+            .filter_map(|flow| Some((flow, self.remove(flow)?)))
+            .collect()
     }
 
     /// A flow.
@@ -173,15 +180,7 @@
 
     /// Drops flows that are over or idle.
     pub fn expire(&mut self, now: Instant) {
-        let over: Vec<_> = self
-            .flows
-            .iter()
-            .filter(|(_, entry)| now >= entry.discard_at)
-            .map(|(flow, _)| *flow)
-            .collect();
-        for flow in over {
-            self.remove(flow);
-        }
+        self.extract(|entry| now >= entry.discard_at);
     }
 
     /// Flows to change in place.
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -74,11 +74,19 @@
     let mut out = Vec::new();
     agent.returned(&from_backend(1, 500), now, &mut out);
     out.clear();
-    agent.heartbeat(&beat(2, 1, false), now, &mut out);
+    let later = now + 10_000 * MS;
+    // Soak, seed 3: a flow of the new lifetime was opened before its first heartbeat, and reset with it.
+    agent.packet(&syn(2, 0), via(BALANCER), &Members::default(), later, &mut out);
+    agent.returned(&from_backend(2, 900), later, &mut out);
+    out.clear();
+    agent.heartbeat(&beat(2, 1, false), later, &mut out);
     assert_eq!(resets(&out), 1);
     out.clear();
-    agent.heartbeat(&beat(1, 9, true), now, &mut out);
-    assert_eq!(agent.backend.phase(now), Phase::Ready);
+    agent.packet(&data(2, 901), via(BALANCER), &Members::default(), later, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+    out.clear();
+    agent.heartbeat(&beat(1, 9, true), later, &mut out);
+    assert_eq!(agent.backend.phase(later), Phase::Ready);
     assert_eq!(resets(&out), 0);
 }
 
@@ -225,6 +233,20 @@
     assert_eq!(resets(&out), 1);
 }
 
+/// Soak, seed 1: flows that were opened before the first heartbeat were forgotten with it, and reset later.
+#[test]
+fn flows_opened_before_the_first_heartbeat_are_kept() {
+    let now = Instant::now();
+    let mut agent = agent(A, now);
+    let mut out = Vec::new();
+    agent.packet(&syn(1, 0), via(BALANCER), &Members::default(), now, &mut out);
+    agent.returned(&from_backend(1, 500), now, &mut out);
+    agent.heartbeat(&beat(1, 1, false), now, &mut out);
+    out.clear();
+    agent.packet(&data(1, 501), via(BALANCER), &Members::default(), now, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+}
+
 /// A balancer with older routes must not bring a SYN to a service that its address no longer leads to.
 #[test]
 fn an_agent_with_newer_routes_takes_no_flow_of_another_service() {
