Try: agents pass a SYN on when requests wait; reverted

Change tried: an agent with 1.5 requests a slot or more passed a SYN on, twice at most. Reverted; only the shared function that passes a packet on stays.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -72,6 +72,15 @@
 }
 
 impl Origin {
+    /// Passes the packet to another agent.
+    fn pass(self, to: Ipv4Addr) -> Effect {
+        Effect::Pass {
+            to,
+            hops: self.hops + 1,
+            balancer: self.balancer,
+        }
+    }
+
     /// Way of the last packet of a flow; unspecified if it is not known.
     fn of(entry: Option<Entry>) -> Self {
         Self {
@@ -347,16 +356,10 @@
 
     /// Passes a SYN to the sibling with the least work, or refuses it if nobody takes it.
     fn divert(&self, flow: Flow, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        let open = members.iter().filter(|member| member.is_open(&self.service, now));
-        let chosen = placement::choose(flow, open.map(|member| self.candidate(member)));
-        match chosen {
-            Some(chosen) if from.hops < MAX_HOPS => {
+        match self.sibling(flow, members, now) {
+            Some(to) if from.hops < MAX_HOPS => {
                 log(out, flow, "divert: backend server takes no new flow");
-                out.push(Effect::Pass {
-                    to: chosen.ip,
-                    hops: from.hops + 1,
-                    balancer: from.balancer,
-                });
+                out.push(from.pass(to));
             }
             None if members.iter().any(|member| member.is_starting(&self.service, now)) => {
                 log(out, flow, "drop: agents are starting");
@@ -368,6 +371,13 @@
         }
     }
 
+    /// Sibling for a flow that this agent does not take.
+    fn sibling(&self, flow: Flow, members: &Members, now: Instant) -> Option<Ipv4Addr> {
+        let open = members.iter().filter(|member| member.is_open(&self.service, now));
+        let chosen = placement::choose(flow, open.map(|member| self.candidate(member)));
+        chosen.map(|chosen| chosen.ip)
+    }
+
     fn candidate(&self, member: &Member) -> Candidate {
         Candidate {
             ip: member.ip,
@@ -391,11 +401,7 @@
         if let Some(owner) = pointed.filter(|owner| *owner != via.sender && via.hops < MAX_HOPS)
             && members.get(owner).is_some_and(|member| !member.is_lost(now))
         {
-            out.push(Effect::Pass {
-                to: owner,
-                hops: via.hops + 1,
-                balancer: via.balancer,
-            });
+            out.push(via.origin().pass(owner));
             return;
         }
         if self.searches.is_denied(flow, now) {
