--- a/crates/dogwoodpitch/src/transport/log.rs
+++ b/crates/dogwoodpitch/src/transport/log.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::HashMap,
-    os::fd::{AsFd, OwnedFd},
+    os::fd::AsFd,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -39,7 +39,7 @@
     open_to(node, level, Sink::open(std::io::stderr()))
 }
 
-fn open_to(node: &str, level: LevelFilter, sink: Sink) -> Result<(), SetLoggerError> {
+fn open_to<T: AsFd + Send + 'static>(node: &str, level: LevelFilter, sink: Sink<T>) -> Result<(), SetLoggerError> {
     let node = node.to_owned();
     let state = Mutex::new((Bound::default(), sink));
     fern::Dispatch::new()
@@ -132,18 +132,15 @@
 
 /// Output that never blocks.
 #[derive(Debug)]
-pub struct Sink {
-    output: Option<OwnedFd>,
+pub struct Sink<T> {
+    output: T,
     dropped: u64,
 }
 
-impl Sink {
-    /// Sink to an open file. Without a file, all lines are dropped.
-    pub fn open(output: impl AsFd) -> Self {
-        Self {
-            output: output.as_fd().try_clone_to_owned().ok(),
-            dropped: 0,
-        }
+impl<T: AsFd> Sink<T> {
+    /// Sink to an open file.
+    pub fn open(output: T) -> Self {
+        Self { output, dropped: 0 }
     }
 
     /// Writes an object as one line, unless its reader has stopped. The next line tells how many were dropped.
@@ -162,9 +159,8 @@
     }
 
     fn try_write(&self, line: &[u8]) -> bool {
-        let Some(output) = &self.output else { return false };
-        let mut ready = [PollFd::new(output.as_fd(), PollFlags::POLLOUT)];
+        let mut ready = [PollFd::new(self.output.as_fd(), PollFlags::POLLOUT)];
         let is_ready = poll(&mut ready, PollTimeout::ZERO).is_ok_and(|count| count > 0);
-        is_ready && unistd::write(output, line).is_ok_and(|written| written == line.len())
+        is_ready && unistd::write(&self.output, line).is_ok_and(|written| written == line.len())
     }
 }
