--- a/crates/dogwoodpitch/tests/log.rs
+++ b/crates/dogwoodpitch/tests/log.rs
@@ -31,7 +31,6 @@
     let mut rest = vec![0; 40_000];
     reader.read_exact(&mut rest).unwrap();
     sink.write(&object(1_000));
-    drop(sink);
     drop(writer);
     let mut text = String::new();
     reader.read_to_string(&mut text).unwrap();
