Count slow backend servers with their speed in placement

Ruled out: the rolling stop of balancers at the same time, which delays few. Change: agents' mean request time, already reported, sets the capacity of a backend server that is 1.5 times slower than the median.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -385,6 +385,7 @@
             load: member.report.load,
             busy: member.busy,
             placed: member.placed,
+            speed: 1.0,
         }
     }
 
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -201,6 +201,7 @@
             load: member.report.load,
             busy: member.busy,
             placed: member.placed,
+            speed: 1.0,
         }
     }
 }
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -14,6 +14,11 @@
 const PLACED_WORK: f64 = 0.5;
 /// Speed of a backend server that has just started, relative to a warm one.
 const COLD_SPEED: f64 = 0.5;
+/// How much longer than usual for its service a request takes at a backend server that counts as slow. Means of a few
+/// requests differ by less.
+const SLOW: f64 = 1.5;
+/// Least speed that a slow backend server counts with, so that its recovery shows.
+const MIN_SPEED: f64 = 0.1;
 /// Slots of a backend server whose agent does not know them yet.
 const UNKNOWN_SLOTS: u32 = 4;
 /// Candidates of the own data centre, of which the less loaded is taken.
@@ -37,6 +42,8 @@
     pub busy: f64,
     /// Own placements that the load does not contain yet.
     pub placed: u32,
+    /// Speed relative to the other agents of the service, at most 1.
+    pub speed: f64,
 }
 
 impl Candidate {
@@ -48,7 +55,7 @@
         } else {
             self.load.slots
         };
-        f64::from(slots) * speed
+        f64::from(slots) * speed.min(self.speed)
     }
 
     /// Work that is waiting, in progress or expected, relative to the capacity.
@@ -70,9 +77,28 @@
     }
 }
 
+/// Gives each candidate its speed: a backend server at which requests take much longer than at most others is slow, also
+/// if its own health check says nothing of it.
+fn rate(candidates: &mut [Candidate]) {
+    let mut latencies: Vec<_> = candidates.iter().map(|candidate| candidate.load.latency_ms).collect();
+    latencies.retain(|latency| *latency > 0);
+    latencies.sort_unstable();
+    let Some(median) = latencies.get(latencies.len() / 2).copied().map(f64::from) else {
+        return;
+    };
+    for candidate in candidates {
+        let latency = f64::from(candidate.load.latency_ms);
+        if latency > median * SLOW {
+            candidate.speed = (median / latency).max(MIN_SPEED);
+        }
+    }
+}
+
 /// Least loaded of the candidates that the flow draws.
 pub fn choose(flow: Flow, candidates: impl Iterator<Item = Candidate>) -> Option<Candidate> {
-    let (mut near, mut far): (Vec<_>, Vec<_>) = candidates.partition(|candidate| candidate.near);
+    let mut candidates: Vec<_> = candidates.collect();
+    rate(&mut candidates);
+    let (mut near, mut far): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|candidate| candidate.near);
     draw(flow, &mut near, NEAR_CHOICES);
     draw(flow, &mut far, FAR_CHOICES + NEAR_CHOICES - near.len());
     near.into_iter().chain(far).min_by(|a, b| a.cost().total_cmp(&b.cost()))
--- a/crates/dogwoodpitch/tests/steering/load.rs
+++ b/crates/dogwoodpitch/tests/steering/load.rs
@@ -113,11 +113,18 @@
                     ip: ips[index],
                     near: true,
                     load: Load {
-                        cold: speeds[index] < 1.0,
+                        // What the agent of a cold backend server is told, and what that of a slow one sees.
+                        cold: (0.5..1.0).contains(&speeds[index]),
+                        latency_ms: if speeds[index] < 0.5 {
+                            whole(MEAN_MS / speeds[index])
+                        } else {
+                            whole(MEAN_MS)
+                        },
                         ..reported[balancer][index]
                     },
                     busy: smoothed[index],
                     placed: placed[balancer][index],
+                    speed: 1.0,
                 });
                 placement::choose(flow, candidates).unwrap().ip
             }
@@ -158,3 +165,13 @@
         assert!(late[&Policy::Product] < late[&baseline], "{late:?}");
     }
 }
+
+/// Two of seven backend servers take four times as long for each request and say nothing of it (nhsc-edge, 28 to 33 s of a
+/// recorded day).
+#[test]
+fn slow_backends() {
+    let late = compare(400.0, [1.0, 0.25, 1.0, 1.0, 0.25, 1.0, 1.0]);
+    for baseline in [Policy::Hash, Policy::RoundRobin, Policy::LeastLoad] {
+        assert!(late[&Policy::Product] < late[&baseline], "{late:?}");
+    }
+}
