Use the usual terms for the backend server's settings, calls and probes

Cause: Beside, Word and trial were terms of our own. Change: settings::Backend with its address, Call, Probe; no change of behaviour.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     coordination::steering::{
-        Beside, Word,
+        Backend, Call,
         node::{Node, State, reject},
         spawn_vital,
     },
@@ -42,11 +42,11 @@
 
 /// Starts the tasks of an agent.
 pub(super) fn spawn(node: &Rc<Node>) -> io::Result<()> {
-    let Some(beside) = node.settings.beside.clone() else {
+    let Some(backend) = node.settings.backend.clone() else {
         return Ok(());
     };
     spawn_vital("outbound", receive(Rc::clone(node)));
-    let listener = TcpListener::bind(beside.heartbeats)?;
+    let listener = TcpListener::bind(backend.heartbeats)?;
     let heartbeats = Rc::clone(node);
     monoio::spawn(http::serve(listener, move |_peer, request| {
         let node = Rc::clone(&heartbeats);
@@ -59,11 +59,11 @@
                     return http::response(StatusCode::BAD_REQUEST, "text/plain", "the body cannot be read\n");
                 }
             };
-            let Some(beside) = &node.settings.beside else {
+            let Some(backend) = &node.settings.backend else {
                 return http::response(StatusCode::NOT_FOUND, "text/plain", "");
             };
-            match (node.platform.word)(beside, &head.method, head.uri.path(), &body) {
-                Ok(word) if take_word(&node, &word) => http::response(StatusCode::OK, "application/json", "{}"),
+            match (node.platform.decode_call)(backend, &head.method, head.uri.path(), &body) {
+                Ok(word) if take_call(&node, &word) => http::response(StatusCode::OK, "application/json", "{}"),
                 Ok(_) => http::response(StatusCode::CONFLICT, "text/plain", "another lifetime is present\n"),
                 Err(error) => {
                     reject(node.settings.ip, &error);
@@ -72,7 +72,7 @@
             }
         }
     }));
-    monoio::spawn(check_backend(Rc::clone(node), beside));
+    monoio::spawn(check_backend(Rc::clone(node), backend));
     Ok(())
 }
 
@@ -88,12 +88,12 @@
 }
 
 /// Takes the word of a backend server. Returns whether it counts.
-fn take_word(node: &Rc<Node>, word: &Word) -> bool {
+fn take_call(node: &Rc<Node>, word: &Call) -> bool {
     let now = Instant::now();
     let result = with(node, |agent, out| {
         let before = agent.stance(now);
         let counts = match word {
-            Word::Heartbeat(beat) => {
+            Call::Heartbeat(beat) => {
                 let outcome = agent.heartbeat(beat, now, out);
                 if outcome != Outcome::Continued {
                     log::info!(
@@ -103,7 +103,7 @@
                 }
                 outcome != Outcome::Stale
             }
-            Word::Leave(id) => {
+            Call::Leave(id) => {
                 let present = agent.backend.leave(id, now);
                 log::info!(event = "backend.leaves", present; "backend server says that it ends");
                 true
@@ -216,8 +216,8 @@
 }
 
 fn deliver(node: &Node, packet: &[u8]) {
-    if let Some(beside) = &node.settings.beside {
-        node.packets.send(beside.backend, &[], packet);
+    if let Some(backend) = &node.settings.backend {
+        node.packets.send(backend.address, &[], packet);
         node.packets.flush();
         if node.unanswered_since.get().is_none() {
             node.unanswered_since.set(Some(Instant::now()));
@@ -280,7 +280,7 @@
 
 /// Finds out quickly that the backend server is up after a start, or that it has ended without a word: its address then
 /// accepts or refuses connections.
-async fn check_backend(node: Rc<Node>, beside: Beside) {
+async fn check_backend(node: Rc<Node>, backend: Backend) {
     let mut interval = START_CHECK_INTERVAL;
     loop {
         let now = Instant::now();
@@ -293,7 +293,7 @@
             Phase::Down => !heard,
         };
         if due {
-            let connect = TcpStream::connect(beside.backend);
+            let connect = TcpStream::connect(backend.address);
             let answer = time::before(now + CHECK_TIMEOUT, connect).await;
             take_check(&node, answer.map(|answer| answer.map(drop)));
         }
--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -43,11 +43,11 @@
 /// Backend server beside an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Beside {
+pub struct Backend {
     /// Service of the backend server.
     pub service: Bytes,
     /// UDP address of the backend server; it accepts TCP there too.
-    pub backend: SocketAddrV4,
+    pub address: SocketAddrV4,
     /// UDP address that the backend server sends its packets to.
     pub outbound: SocketAddrV4,
     /// TCP address for heartbeats.
@@ -79,13 +79,13 @@
     /// Time in seconds after which the platform kills a process that it asked to stop.
     pub stop_timeout_s: f64,
     /// Backend server, for an agent.
-    pub beside: Option<Beside>,
+    pub backend: Option<Backend>,
 }
 
 impl Settings {
     /// Role of the node.
     pub fn role(&self) -> Role {
-        if self.beside.is_some() {
+        if self.backend.is_some() {
             Role::Agent
         } else {
             Role::Balancer
@@ -128,11 +128,11 @@
             self.stop_timeout_s.is_finite() && self.stop_timeout_s >= 0.0,
             "field `stop_timeout_s`: expected seconds",
         );
-        if let Some(beside) = &self.beside {
-            expect(!beside.service.is_empty(), "field `beside.service`: expected a name");
+        if let Some(backend) = &self.backend {
+            expect(!backend.service.is_empty(), "field `backend.service`: expected a name");
             expect(
-                beside.heartbeat_interval_ms > 0,
-                "field `beside.heartbeat_interval_ms`: expected at least 1",
+                backend.heartbeat_interval_ms > 0,
+                "field `backend.heartbeat_interval_ms`: expected at least 1",
             );
         }
     }
@@ -140,7 +140,7 @@
 
 /// What a backend server says in one call.
 #[derive(Debug, Clone)]
-pub enum Word {
+pub enum Call {
     /// It lives.
     Heartbeat(Heartbeat),
     /// A lifetime ends now.
@@ -160,7 +160,7 @@
     /// Routes of a configuration, or why it cannot be used.
     pub routes: fn(&[u8]) -> Result<Table, String>,
     /// Meaning of a call of the backend server beside the agent, or why it has none.
-    pub word: fn(&Beside, &Method, &str, &[u8]) -> Result<Word, String>,
+    pub decode_call: fn(&Backend, &Method, &str, &[u8]) -> Result<Call, String>,
 }
 
 impl fmt::Debug for Platform {
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -100,23 +100,23 @@
 impl Node {
     fn open(settings: Settings, platform: Platform) -> io::Result<Rc<Self>> {
         let now = Instant::now();
-        let state = match &settings.beside {
+        let state = match &settings.backend {
             None => State::Balancer(Balancer::new(settings.data_centre.clone(), settings.cache_capacity())),
-            Some(beside) => State::Agent(Box::new(Agent::new(
+            Some(backend) => State::Agent(Box::new(Agent::new(
                 Identity {
                     ip: settings.ip,
                     data_centre: settings.data_centre.clone(),
-                    service: beside.service.clone(),
+                    service: backend.service.clone(),
                     started_ms: unix_ms(),
                 },
-                Duration::from_millis(beside.heartbeat_interval_ms.into()),
+                Duration::from_millis(backend.heartbeat_interval_ms.into()),
                 now,
             ))),
         };
         let packets = settings
-            .beside
+            .backend
             .as_ref()
-            .map_or(settings.packets, |beside| beside.outbound);
+            .map_or(settings.packets, |backend| backend.outbound);
         Ok(Rc::new(Self {
             frames: Socket::bind(SocketAddrV4::new(settings.ip, settings.port))?,
             packets: Socket::bind(packets)?,
@@ -156,9 +156,9 @@
             data_centre: self.settings.data_centre.clone(),
             service: self
                 .settings
-                .beside
+                .backend
                 .as_ref()
-                .map(|beside| beside.service.clone())
+                .map(|backend| backend.service.clone())
                 .unwrap_or_default(),
             stance,
             load,
@@ -421,4 +421,6 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-const _: () = assert!(steer::HEADER_LEN + 1_236 <= MAX_DATAGRAM);
+/// Longest packet of a flow in bytes.
+const MAX_PACKET: usize = 1_236;
+const _: () = assert!(steer::HEADER_LEN + MAX_PACKET <= MAX_DATAGRAM);
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -37,8 +37,8 @@
 const NOTE_FLOWS: usize = 80;
 /// Pointers to flows of siblings.
 const MAX_POINTERS: usize = 32_768;
-/// How long a packet that was handed to the backend server on trial may stay without an answer.
-const TRIAL: Duration = Duration::from_millis(500);
+/// How long a packet that was handed to the backend server as a probe may stay without an answer.
+const PROBE: Duration = Duration::from_millis(500);
 
 /// How a packet came to this agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -176,14 +176,14 @@
     pub routes: Rc<Routes>,
     pointers: HashMap<Flow, Ipv4Addr>,
     searches: Searches,
-    trials: HashMap<Flow, Trial>,
+    probes: HashMap<Flow, Probe>,
     full_until: Instant,
     pointed_generation: u64,
 }
 
 /// A packet that was handed to the backend server to find out whether it holds the flow.
 #[derive(Debug, Clone, Copy)]
-struct Trial {
+struct Probe {
     asker: Ipv4Addr,
     expires_at: Instant,
 }
@@ -218,7 +218,7 @@
             routes: Rc::default(),
             pointers: HashMap::new(),
             searches: Searches::default(),
-            trials: HashMap::new(),
+            probes: HashMap::new(),
             full_until: now,
             pointed_generation: 0,
         }
@@ -297,7 +297,7 @@
     }
 
     fn end_flows(&mut self, admits: impl Fn(&Entry) -> bool, out: &mut Vec<Effect>) {
-        self.trials.clear();
+        self.probes.clear();
         for (flow, entry) in self.table.extract(admits) {
             if entry.stage == Stage::Open {
                 log(out, flow, "reset: backend server ended");
@@ -416,8 +416,8 @@
     fn search(&mut self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_client();
         let mut asked: BTreeSet<_> = members.agents(&self.service).map(|member| member.ip).collect();
-        let on_trial = self.needs_trial();
-        if on_trial {
+        let probes_own = self.needs_probe();
+        if probes_own {
             asked.insert(self.ip);
         }
         if !self.announced {
@@ -428,8 +428,8 @@
             return;
         }
         log(out, flow, "search: owner is not known");
-        if on_trial {
-            self.try_out(flow, self.ip, now);
+        if probes_own {
+            self.probe(flow, self.ip, now);
             out.push(Effect::Deliver);
         }
         let balancer = from.balancer;
@@ -464,17 +464,17 @@
     }
 
     /// Whether only the backend server can tell if it holds a flow that is not in the table.
-    fn needs_trial(&self) -> bool {
+    fn needs_probe(&self) -> bool {
         let ended = self.backend.is_heard() && self.backend.is_down();
         !self.complete && !ended
     }
 
-    fn try_out(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant) {
-        let trial = Trial {
+    fn probe(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant) {
+        let probe = Probe {
             asker,
-            expires_at: now + TRIAL,
+            expires_at: now + PROBE,
         };
-        self.trials.insert(flow, trial);
+        self.probes.insert(flow, probe);
     }
 
     /// Answers the question of another agent whether this one holds the flow of a packet.
@@ -484,8 +484,8 @@
             out.push(Effect::Deliver);
             tell(out, via.sender, Note::Claim(flow));
             tell(out, via.balancer, Note::Learn(flow));
-        } else if self.needs_trial() {
-            self.try_out(flow, via.sender, now);
+        } else if self.needs_probe() {
+            self.probe(flow, via.sender, now);
             out.push(Effect::Deliver);
         } else {
             tell(out, via.sender, Note::Deny(flow));
@@ -506,8 +506,8 @@
             self.divert(flow, Origin::of(entry), members, now, out);
             return;
         }
-        if let Some(trial) = self.trials.remove(&flow) {
-            self.deny(flow, trial.asker, now, out);
+        if let Some(probe) = self.probes.remove(&flow) {
+            self.deny(flow, probe.asker, now, out);
             return;
         }
         match self.table.remove(flow) {
@@ -525,21 +525,21 @@
     /// Takes a packet that the backend server sends to a client.
     pub fn returned(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_backend();
-        let trial = self.trials.remove(&flow);
+        let probe = self.probes.remove(&flow);
         if segment.flags.contains(Flags::RST) && self.table.get(flow).is_none() {
             // A backend server that has just started resets flows that it never held; another one may hold this flow.
             log(out, flow, "drop: reset of a flow that is not in the table");
-            if let Some(trial) = trial {
-                self.deny(flow, trial.asker, now, out);
+            if let Some(probe) = probe {
+                self.deny(flow, probe.asker, now, out);
             }
             return;
         }
         out.extend(self.table.server(flow, segment, now).map(Effect::Answered));
         out.push(Effect::Return);
-        if let Some(trial) = trial {
+        if let Some(probe) = probe {
             self.searches.claim(flow);
-            if trial.asker != self.ip {
-                tell(out, trial.asker, Note::Claim(flow));
+            if probe.asker != self.ip {
+                tell(out, probe.asker, Note::Claim(flow));
             }
         }
     }
@@ -620,7 +620,7 @@
         }
         self.table.expire(now);
         self.searches.expire(now);
-        self.trials.retain(|_, trial| now < trial.expires_at);
+        self.probes.retain(|_, probe| now < probe.expires_at);
         self.place_pointers(members, now, out);
     }
 
