--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -12,7 +12,7 @@
 
 use crate::state::steering::{
     backend::{Backend, Heartbeat, Outcome, Phase},
-    member::{Load, Member, Members, Stance},
+    member::{Load, Members, Stance},
     placement::{self, Candidate},
     rank,
     route::{Retry, Table as Routes},
@@ -374,21 +374,10 @@
     /// Sibling for a flow that this agent does not take.
     fn sibling(&self, flow: Flow, members: &Members, now: Instant) -> Option<Ipv4Addr> {
         let open = members.iter().filter(|member| member.is_open(&self.service, now));
-        let chosen = placement::choose(flow, open.map(|member| self.candidate(member)));
+        let chosen = placement::choose(flow, open.map(|member| Candidate::of(member, &self.data_centre)));
         chosen.map(|chosen| chosen.ip)
     }
 
-    fn candidate(&self, member: &Member) -> Candidate {
-        Candidate {
-            ip: member.ip,
-            near: member.report.data_centre == self.data_centre,
-            load: member.report.load,
-            busy: member.busy,
-            placed: member.placed,
-            speed: 1.0,
-        }
-    }
-
     fn follow(&mut self, segment: &Segment, via: Via, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_client();
         if self.table.client(flow, segment, Some(via.balancer), now) {
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -95,11 +95,15 @@
         };
         let service = route.service(flow);
         let earlier = self.flows.get(&flow).map(|entry| entry.agent);
-        let open = |member: &&Member| member.is_open(service, now);
+        let open = members.iter().filter(|member| member.is_open(service, now)).count();
+        let joining = members.iter().filter(|member| member.is_joining(service, now)).count();
+        // When most agents start at the same time, the first ones that are open must not take the load of all.
+        let takes =
+            |member: &&Member| member.is_open(service, now) || (open < joining && member.is_joining(service, now));
         let mut candidates: Vec<_> = members
             .iter()
-            .filter(open)
-            .map(|member| self.candidate(member))
+            .filter(takes)
+            .map(|member| Candidate::of(member, &self.data_centre))
             .collect();
         if segment.ack > 0 && candidates.len() > 1 {
             candidates.retain(|candidate| Some(candidate.ip) != earlier);
@@ -193,17 +197,6 @@
                 .iter()
                 .any(|member| !member.report.service.is_empty() && member.is_fresh(now))
     }
-
-    fn candidate(&self, member: &Member) -> Candidate {
-        Candidate {
-            ip: member.ip,
-            near: member.report.data_centre == self.data_centre,
-            load: member.report.load,
-            busy: member.busy,
-            placed: member.placed,
-            speed: 1.0,
-        }
-    }
 }
 
 /// Agent that finds the owner of a flow. One that has just started does not know all others yet.
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -6,7 +6,13 @@
 
 use std::{cmp::Ordering, net::Ipv4Addr};
 
-use crate::state::steering::{member::Load, rank, segment::Flow};
+use bytes::Bytes;
+
+use crate::state::steering::{
+    member::{Load, Member},
+    rank,
+    segment::Flow,
+};
 
 /// Work of an open flow that is idle now, in slots. A client of the sites' feeds sends about one request of 50 ms a second.
 const IDLE_FLOW_WORK: f64 = 0.05;
@@ -47,6 +53,18 @@
 }
 
 impl Candidate {
+    /// Agent as a node of a data centre sees it.
+    pub fn of(member: &Member, data_centre: &Bytes) -> Self {
+        Self {
+            ip: member.ip,
+            near: member.report.data_centre == *data_centre,
+            load: member.report.load,
+            busy: member.busy,
+            placed: member.placed,
+            speed: 1.0,
+        }
+    }
+
     /// Slots, corrected for the speed of a backend server that has just started.
     fn capacity(&self) -> f64 {
         let speed = if self.load.cold { COLD_SPEED } else { 1.0 };
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -323,6 +323,24 @@
     );
 }
 
+/// After a loss of power the first agent that is open must not take the flows of all; a newcomer among open ones waits.
+#[test]
+fn joining_agents_share_the_load_of_a_mass_start() {
+    let now = Instant::now();
+    for (open, joining, shared) in [(vec![A], vec![B, C], true), (vec![A, B], vec![C], false)] {
+        let mut members = members(&open, Stance::Open, now);
+        for (number, ip) in joining.iter().enumerate() {
+            members.report(*ip, agent_report(number as u64 + 10, 1, Stance::Joining), now);
+        }
+        let mut balancer = balancer();
+        let to_joining = (0..100).filter(|port| match balancer.packet(&syn(*port, 0), &mut members, now) {
+            Decision::Forward { to, .. } => joining.contains(&to),
+            _ => false,
+        });
+        assert_eq!(to_joining.count() > 0, shared, "{open:?} open, {joining:?} joining");
+    }
+}
+
 /// A copy of a SYN means that the first agent has not answered for 200 ms.
 #[test]
 fn a_copy_of_a_syn_goes_to_another_agent() {
