Write metrics without labels without braces

Cause: endpoints_show_the_state_of_the_daemon in tests/sync.rs failed since the new recorder: it wrote `name{} value`. Change: braces only around labels. Result: tests/sync.rs passes.

--- a/crates/dogwoodpitch/src/transport/metric.rs
+++ b/crates/dogwoodpitch/src/transport/metric.rs
@@ -77,8 +77,12 @@
         })
         .collect();
     let name = formatting::sanitize_metric_name(key.name());
-    let labels = labels.join(",");
-    writeln!(out, "{name}{suffix}{{{labels}}} {value}").expect("writing to a string does not fail");
+    let labels = if labels.is_empty() {
+        String::new()
+    } else {
+        format!("{{{}}}", labels.join(","))
+    };
+    writeln!(out, "{name}{suffix}{labels} {value}").expect("writing to a string does not fail");
 }
 
 impl metrics::Recorder for Recorder {
