Announce again at once when the lease of an announcement has ended

Cause: found on the read of the difference: a put that the store refused for a missing lease counted as done until the next renewal, 18 s later. Change: it is an error, so the pause for retries applies.

--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -99,9 +99,11 @@
         key: format!("{NODE}{}", node.settings.ip).into(),
         value: value.into(),
     };
-    if (store.put)(item, lease, deadline()).await? {
-        node.lease.set(Some(lease));
+    if !(store.put)(item, lease, deadline()).await? {
+        let text = "the lease ended before the announcement was written".to_owned();
+        return Err(Error::Unavailable { text });
     }
+    node.lease.set(Some(lease));
     Ok(())
 }
 
