Expire pointers to flows, and refresh those of open flows

Cause: an agent kept each pointer until its owner was gone. After 32,768 pointers new ones were refused, and searches among all siblings took their place until the agent restarted.

Change: a pointer has a deadline of 75 s; the owner of a flow sends its pointers again each 30 s, so that flows that stay open keep theirs.

Measured: `pointers_expire` failed before (a search in place of a pass) and passes now; 27 tests of `--test steering` pass.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -37,6 +37,10 @@
 const NOTE_FLOWS: usize = 80;
 /// Pointers to flows of siblings.
 const MAX_POINTERS: usize = 32_768;
+/// Time after which the owner of an open flow sends its pointers again.
+const POINTER_REFRESH: Duration = Duration::from_secs(30);
+/// How long a pointer is kept without a refresh; two may be lost.
+const POINTER_KEEP: Duration = Duration::from_secs(75);
 /// How long a packet that was handed to the backend server as a probe may stay without an answer.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -177,13 +181,20 @@
     pub table: Table,
     /// Routes in force.
     pub routes: Rc<Routes>,
-    pointers: HashMap<Flow, Ipv4Addr>,
+    pointers: HashMap<Flow, Pointer>,
     searches: Searches,
     probes: HashMap<Flow, Probe>,
     full_until: Instant,
     pointed_generation: u64,
 }
 
+/// Where a flow of a sibling is.
+#[derive(Debug, Clone, Copy)]
+struct Pointer {
+    owner: Ipv4Addr,
+    expires_at: Instant,
+}
+
 /// A packet that was handed to the backend server to find out whether it holds the flow.
 #[derive(Debug, Clone, Copy)]
 struct Probe {
@@ -390,7 +401,7 @@
             }
             return;
         }
-        let pointed = self.pointers.get(&flow).copied();
+        let pointed = self.pointers.get(&flow).map(|pointer| pointer.owner);
         if let Some(owner) = pointed.filter(|owner| *owner != via.sender && via.hops < MAX_HOPS)
             && members.get(owner).is_some_and(|member| !member.is_lost(now))
         {
@@ -555,16 +566,16 @@
             Note::WasDraining => self.backend.was_draining(),
             Note::Claim(flow) => {
                 self.searches.claim(flow);
-                self.point(flow, sender);
+                self.point(flow, sender, now);
             }
             Note::Deny(flow) => {
-                if self.pointers.get(&flow) == Some(&sender) {
+                if self.pointers.get(&flow).is_some_and(|pointer| pointer.owner == sender) {
                     self.pointers.remove(&flow);
                 }
                 let progress = self.searches.deny(flow, sender, now);
                 reset_if_nobody(flow, &progress, out);
             }
-            Note::Point(flows) => flows.into_iter().for_each(|flow| self.point(flow, sender)),
+            Note::Point(flows) => flows.into_iter().for_each(|flow| self.point(flow, sender, now)),
             Note::Restore(flows) => {
                 for flow in flows {
                     if !self.complete && self.table.get(flow).is_none() {
@@ -575,9 +586,10 @@
         }
     }
 
-    fn point(&mut self, flow: Flow, owner: Ipv4Addr) {
+    fn point(&mut self, flow: Flow, owner: Ipv4Addr, now: Instant) {
         if self.pointers.len() < MAX_POINTERS || self.pointers.contains_key(&flow) {
-            self.pointers.insert(flow, owner);
+            let expires_at = now + POINTER_KEEP;
+            self.pointers.insert(flow, Pointer { owner, expires_at });
         }
     }
 
@@ -587,14 +599,14 @@
             for home in &mut entry.homes {
                 if *home == Some(sibling) {
                     *home = None;
-                    entry.pointed = false;
+                    entry.point_at = entry.opened_at;
                 }
             }
         }
         let owned: Vec<_> = self
             .pointers
             .iter()
-            .filter(|(_, owner)| **owner == sibling)
+            .filter(|(_, pointer)| pointer.owner == sibling)
             .map(|(flow, _)| *flow)
             .collect();
         for flows in owned.chunks(NOTE_FLOWS) {
@@ -604,7 +616,7 @@
 
     /// Nodes have gone for good.
     pub fn forget(&mut self, gone: &BTreeSet<Ipv4Addr>) {
-        self.pointers.retain(|_, owner| !gone.contains(owner));
+        self.pointers.retain(|_, pointer| !gone.contains(&pointer.owner));
     }
 
     /// Does what time brings: pointers to new flows, ends of old ones.
@@ -615,6 +627,7 @@
         self.table.expire(now);
         self.searches.expire(now);
         self.probes.retain(|_, probe| now < probe.expires_at);
+        self.pointers.retain(|_, pointer| now < pointer.expires_at);
         self.place_pointers(members, now, out);
     }
 
@@ -624,11 +637,15 @@
         let mut notes: HashMap<Ipv4Addr, Vec<Flow>> = HashMap::new();
         let siblings: Vec<_> = members.agents(&self.service).map(|member| member.ip).collect();
         for (flow, entry) in self.table.iter_mut() {
-            let due = (changed || !entry.pointed) && entry.stage == Stage::Open && now >= entry.opened_at + POINT_AFTER;
-            if !due {
+            let refresh = now >= entry.point_at;
+            let lasting = entry.stage == Stage::Open && now >= entry.opened_at + POINT_AFTER;
+            if !lasting || !(changed || refresh) {
                 continue;
             }
-            entry.pointed = true;
+            if refresh {
+                entry.homes = [None; rank::HOMES];
+                entry.point_at = now + POINTER_REFRESH;
+            }
             let homes = rank::homes(flow, siblings.iter().copied().chain([self.ip]));
             let new = homes
                 .iter()
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -53,8 +53,8 @@
     pub hops: u8,
     /// When the flow came into the table.
     pub opened_at: Instant,
-    /// Whether all homes have a pointer to this flow.
-    pub pointed: bool,
+    /// When all homes need a pointer to this flow, for the first time or again.
+    pub point_at: Instant,
     /// Agents that have a pointer to this flow.
     pub homes: [Option<Ipv4Addr>; HOMES],
     /// Start of the request in progress.
@@ -88,7 +88,7 @@
             balancer,
             hops,
             opened_at: now,
-            pointed: false,
+            point_at: now,
             homes: [None; HOMES],
             request: None,
             discard_at: now + lifetime,
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -412,3 +412,55 @@
         .count();
     assert_eq!(moved, 0);
 }
+
+/// Pointers to flows that are over must not keep out those of new flows, however many there were.
+#[test]
+fn pointers_expire() {
+    let now = Instant::now();
+    let members = members(&[B], Stance::Open, now);
+    let mut home = started(A, now);
+    let mut out = Vec::new();
+    let ended = (0..40_000).map(flow).collect();
+    home.note(B, Note::Point(ended), now, &mut out);
+    let later = now + 80_000 * MS;
+    home.tick(&members, later, &mut out);
+    home.note(B, Note::Point(vec![flow(50_000)]), later, &mut out);
+    out.clear();
+    home.packet(&data(50_000, 501), via(BALANCER), &members, now, &mut out);
+    assert!(matches!(out[..], [Effect::Pass { to: B, .. }]), "{out:?}");
+}
+
+/// The pointers of a flow that stays open for long are kept.
+#[test]
+fn pointers_of_open_flows_are_refreshed() {
+    let start = Instant::now();
+    let siblings = members(&[B], Stance::Open, start);
+    let mut owner = started(A, start);
+    let mut home = started(B, start);
+    owner.returned(&from_backend(1, 500), start, &mut Vec::new());
+    for second in 1..300 {
+        let now = start + second * 1_000 * MS;
+        let mut out = Vec::new();
+        owner.packet(&data(1, 501), via(BALANCER), &siblings, now, &mut out);
+        owner.tick(&siblings, now, &mut out);
+        for effect in out {
+            if let Effect::Tell { to: B, note } = effect {
+                home.note(A, note, now, &mut Vec::new());
+            }
+        }
+        let mut out = Vec::new();
+        home.tick(&Members::default(), now, &mut out);
+        out.clear();
+        home.packet(
+            &data(1, 501),
+            via(BALANCER),
+            &members(&[A], Stance::Open, now),
+            now,
+            &mut out,
+        );
+        assert!(
+            matches!(out[..], [Effect::Pass { to: A, .. }]),
+            "second {second}: {out:?}"
+        );
+    }
+}
