Send lists of nodes only to nodes that ask for them

Cause: a greeting was answered with the whole list of nodes. Backend servers idled from 35.1 to 35.9 s (0.4 to 1.5 of 3 slots) although clients were waiting.

Change: `steering::contact` decides what is answered. A greeting is answered with a report; a list goes to a node that asks for it, as nodes do that start or cannot read the store.

--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -82,7 +82,8 @@
 
 fn greet_seeds(node: &Node) {
     let seeds: Vec<_> = node.live.borrow().seeds().collect();
-    node.greet(seeds);
+    node.greet(seeds.iter().copied());
+    node.discover(seeds);
 }
 
 async fn renew(node: &Node) -> Result<(), Error> {
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -20,6 +20,7 @@
         steering::{
             agent::{Agent, Identity, Note},
             balancer::Balancer,
+            contact::{self, Contact},
             member::{Change, Load, Members, Report, Stance},
             route::Table,
         },
@@ -211,6 +212,16 @@
         self.flush();
     }
 
+    /// Asks nodes for the others that they know.
+    pub(super) fn discover(&self, nodes: impl IntoIterator<Item = Ipv4Addr>) {
+        for ip in nodes {
+            if ip != self.settings.ip {
+                self.tell(ip, &Message::Discovery);
+            }
+        }
+        self.flush();
+    }
+
     /// Asks nodes for a report.
     pub(super) fn greet(&self, nodes: impl IntoIterator<Item = Ipv4Addr>) {
         let report = Message::Report(self.report(true));
@@ -234,6 +245,7 @@
         match steer::decode(payload) {
             Ok(Message::Report(report)) => self.take_report(from, report),
             Ok(Message::Note(note)) => self.take_note(from, note),
+            Ok(Message::Discovery) => self.answer(from, Contact::Discovery, false),
             Ok(Message::Nodes(nodes)) => {
                 let own = self.settings.ip;
                 let others = nodes.into_iter().filter(|(ip, _)| *ip != own);
@@ -246,7 +258,12 @@
 
     fn take_report(self: &Rc<Self>, from: Ipv4Addr, report: Report) {
         let now = Instant::now();
-        let (version, greeting, stance) = (report.version, report.greeting, report.stance);
+        let (version, stance) = (report.version, report.stance);
+        let contact = if report.greeting {
+            Contact::Greeting
+        } else {
+            Contact::Report
+        };
         let change = self.members.borrow_mut().report(from, report, now);
         if let Change::New { was_draining } = change {
             log::info!(
@@ -258,18 +275,21 @@
             }
             agent::decide(self, &[], |agent, _, out| agent.sibling_started(from, out));
         }
-        if greeting || matches!(change, Change::New { .. }) {
-            self.tell(from, &Message::Report(self.report(false)));
-        }
-        if greeting {
-            self.tell_nodes(from);
-        }
+        self.answer(from, contact, matches!(change, Change::New { .. }));
         if version > self.routes().version {
             config::pull(self, from);
         }
     }
 
-    /// Tells a new node of the others.
+    fn answer(&self, to: Ipv4Addr, contact: Contact, new: bool) {
+        match contact::answer(contact, new) {
+            Some(Contact::Nodes) => self.tell_nodes(to),
+            Some(_) => self.tell(to, &Message::Report(self.report(false))),
+            None => {}
+        }
+    }
+
+    /// Tells a node of the others.
     fn tell_nodes(&self, to: Ipv4Addr) {
         let members = self.members.borrow();
         let nodes: Vec<_> = members
--- a/crates/dogwoodpitch/src/protocol/steer.rs
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -52,6 +52,8 @@
     Report(Report),
     /// About flows.
     Note(Note),
+    /// Asks for the nodes that the receiver knows.
+    Discovery,
     /// Other nodes that the sender knows.
     Nodes(Vec<(Ipv4Addr, Report)>),
 }
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod backend;
 pub mod balancer;
+pub mod contact;
 pub mod member;
 pub mod placement;
 pub mod rank;
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod load;
 
 use std::{
+    collections::VecDeque,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,6 +14,7 @@
     agent::{Effect, Note},
     backend::Phase,
     balancer::{Balancer, Decision},
+    contact::{self, Contact},
     member::{Members, Stance},
     rank,
     segment::Flags,
@@ -464,3 +466,22 @@
         );
     }
 }
+
+/// kalo-workshop-grown trouble-2 at 35.0 s: 91 nodes start together, and each finds the others in the store. Lists of nodes
+/// in answer to each greeting filled the links of 10 Mbit/s for a second.
+#[test]
+fn a_mass_start_needs_two_messages_for_each_pair_of_nodes() {
+    const NODES: usize = 91;
+    let mut known = vec![vec![false; NODES]; NODES];
+    let pairs = || (0..NODES).flat_map(|from| (0..NODES).map(move |to| (from, to)));
+    let others = pairs().filter(|(from, to)| from != to);
+    let mut sent: VecDeque<_> = others.map(|(from, to)| (from, to, Contact::Greeting)).collect();
+    let mut messages = 0;
+    while let Some((from, to, contact)) = sent.pop_front() {
+        messages += 1;
+        assert_ne!(contact, Contact::Nodes);
+        let new = !std::mem::replace(&mut known[to][from], true);
+        sent.extend(contact::answer(contact, new).map(|answer| (to, from, answer)));
+    }
+    assert!(messages <= 2 * NODES * NODES, "{messages}");
+}
