Log the resets that a backend server sends

Cause: clients whose flow the backend server itself reset left no line at the agent, so an overloaded backend server could not be told from a lost one.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -537,6 +537,9 @@
             }
             return;
         }
+        if segment.flags.contains(Flags::RST) {
+            log(out, flow, "pass: backend server resets the flow");
+        }
         out.extend(self.table.server(flow, segment, now).map(Effect::Answered));
         out.push(Effect::Return {
             client: *flow.client.ip(),
