Let SYNs wait at the agent of a loaded backend server

Cause: in a burst, agents handed over every SYN. Backend servers refuse what exceeds their queue and reset flows far beyond it (at 26 requests on 2 slots). Repeated packets and the time in the queue also counted as work and as slowness.

Change: `steering::admission` keeps a SYN at the agent until a request of its route can be answered well within its goal; urgent routes go first and find more room. A wait ends before the next copy, which goes to another agent; after the last copy the try ends with a reset, so nothing has run. Repetitions are told by their sequence numbers, and the reported time is that in a slot.

What binds: in the burst the backend servers run at their capacity, and feeds on open flows cannot wait at the agent.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -171,6 +171,18 @@
     for effect in effects {
         match effect {
             Effect::Deliver => deliver(node, packet),
+            Effect::Hold { flow } => {
+                node.held.borrow_mut().insert(*flow, packet.to_vec());
+            }
+            Effect::Release { flow } => {
+                let held = node.held.borrow_mut().remove(flow);
+                if let Some(packet) = held {
+                    deliver(node, &packet);
+                }
+            }
+            Effect::Discard { flow } => {
+                node.held.borrow_mut().remove(flow);
+            }
             Effect::Pass { to, hops, balancer } => carry(node, Kind::Packet, *to, *hops, *balancer, packet),
             Effect::Ask { to, balancer } => carry(node, Kind::Ask, *to, 0, *balancer, packet),
             Effect::Return { client } => node.send_client(*client, packet),
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     io,
     net::{Ipv4Addr, SocketAddrV4},
     rc::Rc,
@@ -23,6 +24,7 @@
             contact::{self, Contact},
             member::{Change, Load, Members, Report, Stance},
             route::Table,
+            segment::Flow,
         },
     },
     transport::{
@@ -69,6 +71,8 @@
     pub(super) reload: Reload,
     /// Settings as they were read last; the identity and the sockets are those of `settings`.
     pub(super) live: RefCell<Settings>,
+    /// SYNs that wait at an agent.
+    pub(super) held: RefCell<HashMap<Flow, Vec<u8>>>,
     pub(super) lease: Cell<Option<u64>>,
     /// Since when the backend server has sent nothing although it was given packets.
     pub(super) unanswered_since: Cell<Option<Instant>>,
@@ -127,6 +131,7 @@
             state: RefCell::new(state),
             members: RefCell::default(),
             config: config::Config::default(),
+            held: RefCell::default(),
             lease: Cell::new(None),
             unanswered_since: Cell::new(None),
             incarnation: rand::random(),
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::steering::{
+    admission::{Opening, Queue, Work},
     backend::{Backend, Heartbeat, Outcome, Phase},
     member::{Load, Members, Stance},
     placement::{self, Candidate},
@@ -116,6 +117,21 @@
 pub enum Effect {
     /// Hands the packet to the backend server.
     Deliver,
+    /// Keeps the SYN at hand until the backend server has room.
+    Hold {
+        /// Flow.
+        flow: Flow,
+    },
+    /// Hands a SYN that was kept to the backend server.
+    Release {
+        /// Flow.
+        flow: Flow,
+    },
+    /// Forgets a SYN that was kept.
+    Discard {
+        /// Flow.
+        flow: Flow,
+    },
     /// Passes the packet to another agent.
     Pass {
         /// Agent.
@@ -183,6 +199,7 @@
     pub routes: Rc<Routes>,
     pointers: HashMap<Flow, Pointer>,
     searches: Searches,
+    queue: Queue,
     probes: HashMap<Flow, Probe>,
     full_until: Instant,
     pointed_generation: u64,
@@ -232,6 +249,7 @@
             routes: Rc::default(),
             pointers: HashMap::new(),
             searches: Searches::default(),
+            queue: Queue::default(),
             probes: HashMap::new(),
             full_until: now,
             pointed_generation: 0,
@@ -265,10 +283,10 @@
     pub fn load(&self, now: Instant) -> Load {
         Load {
             slots: self.backend.slots,
-            busy: self.table.busy(),
+            busy: self.table.busy() + self.queue.waiting(),
             flows: self.table.open(),
             cold: self.backend.is_cold(now),
-            latency_ms: self.table.latency_ms(),
+            latency_ms: u32::try_from(self.table.service_time().as_millis()).unwrap_or(u32::MAX),
         }
     }
 
@@ -341,6 +359,11 @@
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.stage != Stage::Ended);
         let takes = self.may_take(now) && now >= self.full_until;
+        if takes && !known && !self.has_room(segment, via, now) {
+            log(out, flow, "wait: backend server is loaded");
+            out.push(Effect::Hold { flow });
+            return;
+        }
         let balancer = Some(via.balancer);
         let accepted = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
         if !accepted {
@@ -354,6 +377,59 @@
         }
     }
 
+    /// Whether the backend server has room for a new flow. Otherwise its SYN waits.
+    fn has_room(&mut self, segment: &Segment, via: Via, now: Instant) -> bool {
+        let flow = segment.from_client();
+        let Some(route) = self.routes.get(flow.service) else {
+            return true;
+        };
+        let opening = Opening {
+            flow,
+            goal: route.goal,
+            priority: route.priority,
+            copy: segment.ack,
+            balancer: via.balancer,
+            hops: via.hops,
+        };
+        self.queue.offer(opening, self.work(now), now)
+    }
+
+    fn work(&self, now: Instant) -> Work {
+        Work {
+            slots: self.backend.slots,
+            requests: self.table.busy() + self.table.expected(now),
+            service_time: self.table.service_time(),
+        }
+    }
+
+    /// Hands over the SYNs for which there is room now, and gives up those that have waited for too long.
+    fn serve_queue(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let open = self.may_take(now);
+        let removed = if open {
+            self.queue.expire(now)
+        } else {
+            self.queue.clear()
+        };
+        for (flow, last) in removed {
+            out.push(Effect::Discard { flow });
+            if last {
+                log(out, flow, "reset: backend server stayed loaded");
+                out.push(Effect::Reset { flow, seq: 0 });
+            }
+        }
+        while open && let Some(opening) = self.queue.next(self.work(now)) {
+            let flow = opening.flow;
+            let balancer = Some(opening.balancer);
+            if self.table.insert(flow, Stage::Opening, opening.hops, balancer, now) {
+                self.searches.claim(flow);
+                out.push(Effect::Release { flow });
+                tell(out, opening.balancer, Note::Learn(flow));
+            } else {
+                out.push(Effect::Discard { flow });
+            }
+        }
+    }
+
     /// Whether the backend server takes new flows. One that has not been heard since this process started may.
     fn may_take(&self, now: Instant) -> bool {
         let phase = self.backend.phase(now);
@@ -540,10 +616,15 @@
         if segment.flags.contains(Flags::RST) {
             log(out, flow, "pass: backend server resets the flow");
         }
-        out.extend(self.table.server(flow, segment, now).map(Effect::Answered));
+        out.extend(
+            self.table
+                .server(flow, segment, self.backend.slots, now)
+                .map(Effect::Answered),
+        );
         out.push(Effect::Return {
             client: *flow.client.ip(),
         });
+        self.serve_queue(now, out);
         if let Some(probe) = probe {
             self.searches.claim(flow);
             if probe.asker != self.ip {
@@ -631,6 +712,7 @@
         self.searches.expire(now);
         self.probes.retain(|_, probe| now < probe.expires_at);
         self.pointers.retain(|_, pointer| now < pointer.expires_at);
+        self.serve_queue(now, out);
         self.place_pointers(members, now, out);
     }
 
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -73,7 +73,7 @@
     pub flows: u32,
     /// Whether the backend server is slow after its start.
     pub cold: bool,
-    /// Mean time of a request in milliseconds; 0 if it is not known.
+    /// Mean time that a request takes in a slot in milliseconds; 0 if it is not known.
     pub latency_ms: u32,
 }
 
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -5,6 +5,7 @@
 //! server beside it, and finds the owner of any other packet by a pointer or by a search among its siblings, the agents of
 //! the same service. All nodes know one another ([`member`]) and the routes ([`route`]).
 
+pub mod admission;
 pub mod agent;
 pub mod backend;
 pub mod balancer;
--- a/crates/dogwoodpitch/src/state/steering/route.rs
+++ b/crates/dogwoodpitch/src/state/steering/route.rs
@@ -33,6 +33,10 @@
     pub retry: Retry,
     /// Longest time that a request may take.
     pub timeout: Duration,
+    /// Time within which clients want their answer.
+    pub goal: Duration,
+    /// Priority of the requests; 0 is the highest.
+    pub priority: u8,
 }
 
 impl Route {
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -22,8 +22,10 @@
 /// Distance of an acknowledgment from the backend server's sequence numbers within which it belongs to the same flow.
 /// Initial numbers are random over 32 bits, and less than this is in flight.
 const ACK_WINDOW: u32 = 1 << 22;
-/// Weight of the newest request in the mean time of a request.
-const LATENCY_GAIN: f64 = 0.1;
+/// Weight of the newest request in the mean time that a request takes in a slot.
+const SERVICE_GAIN: f64 = 0.1;
+/// Time from a SYN to the first request of the flow: two round trips to a client of another data centre, with some slack.
+const FIRST_REQUEST: Duration = Duration::from_millis(60);
 
 /// Progress of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,17 +59,27 @@
     pub point_at: Instant,
     /// Agents that have a pointer to this flow.
     pub homes: [Option<Ipv4Addr>; HOMES],
-    /// Start of the request in progress.
-    request: Option<Instant>,
+    /// Request in progress.
+    request: Option<Request>,
+    /// Sequence number after the last byte that the client has sent; a repetition does not go beyond it.
+    client_end: Option<u32>,
     discard_at: Instant,
 }
 
+/// Request that the backend server has not begun to answer.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    started: Instant,
+    /// Requests in progress when it came, itself included.
+    position: u32,
+}
+
 /// All flows of one backend server.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     flows: HashMap<Flow, Entry>,
     busy: u32,
-    latency_ms: f64,
+    service_ms: f64,
 }
 
 /// Age at which a flow gets pointers; flows of one short request need none.
@@ -91,6 +103,7 @@
             point_at: now,
             homes: [None; HOMES],
             request: None,
+            client_end: None,
             discard_at: now + lifetime,
         };
         self.flows.insert(flow, entry);
@@ -130,9 +143,17 @@
         entry.client_ack = segment.ack;
         entry.balancer = balancer.or(entry.balancer);
         entry.discard_at = now + if entry.stage == Stage::Ended { LINGER } else { IDLE };
-        if segment.data_len > 0 && entry.request.is_none() && entry.stage != Stage::Ended {
-            entry.request = Some(now);
+        let end = segment.seq.wrapping_add(segment.data_len.into());
+        let is_new = segment.data_len > 0 && entry.client_end.is_none_or(|last| is_after(end, last));
+        if is_new {
+            entry.client_end = Some(end);
+        }
+        if is_new && entry.request.is_none() && entry.stage != Stage::Ended {
             self.busy += 1;
+            entry.request = Some(Request {
+                started: now,
+                position: self.busy,
+            });
         }
         if segment.flags.contains(Flags::RST) {
             self.end(flow, now);
@@ -141,7 +162,7 @@
     }
 
     /// Takes a packet of the backend server. Returns the time of a request that it begins to answer.
-    pub fn server(&mut self, flow: Flow, segment: &Segment, now: Instant) -> Option<Duration> {
+    pub fn server(&mut self, flow: Flow, segment: &Segment, slots: u32, now: Instant) -> Option<Duration> {
         if !self.flows.contains_key(&flow) {
             self.insert(flow, Stage::Open, 0, None, now);
         }
@@ -156,10 +177,12 @@
         } else {
             None
         };
-        let taken = request.map(|start| now.saturating_duration_since(start));
-        if let Some(taken) = taken {
+        let taken = request.map(|request| now.saturating_duration_since(request.started));
+        if let (Some(request), Some(taken)) = (request, taken) {
             self.busy -= 1;
-            self.latency_ms += LATENCY_GAIN * (taken.as_secs_f64() * 1_000.0 - self.latency_ms);
+            let rounds = f64::from(request.position) / f64::from(slots.max(1));
+            let service_ms = taken.as_secs_f64() * 1_000.0 / rounds.max(1.0);
+            self.service_ms += SERVICE_GAIN * (service_ms - self.service_ms);
         }
         if segment.flags.contains(Flags::RST) || segment.flags.contains(Flags::FIN) {
             self.end(flow, now);
@@ -196,15 +219,26 @@
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
-    /// Mean time of a request in milliseconds.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a mean of times is not negative"
-    )]
-    pub fn latency_ms(&self) -> u32 {
-        self.latency_ms as u32
+    /// Flows that were opened a moment ago and whose first request has not come.
+    pub fn expected(&self, now: Instant) -> u32 {
+        let is_expected = |entry: &&Entry| {
+            matches!(entry.stage, Stage::Opening | Stage::Open)
+                && entry.client_end.is_none()
+                && now < entry.opened_at + FIRST_REQUEST
+        };
+        let expected = self.flows.values().filter(is_expected).count();
+        u32::try_from(expected).unwrap_or(u32::MAX)
     }
+
+    /// Mean time that a request takes in a slot, without the time that it waits for one.
+    pub fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service_ms / 1_000.0)
+    }
+}
+
+fn is_after(seq: u32, other: u32) -> bool {
+    let distance = seq.wrapping_sub(other);
+    distance != 0 && distance < u32::MAX / 2
 }
 
 fn is_near(seq: u32, ack: u32) -> bool {
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -87,6 +87,8 @@
         }],
         retry,
         timeout: Duration::from_secs(2),
+        goal: Duration::from_millis(400),
+        priority: 2,
     };
     let routes = HashMap::from([(SERVICE, route(Retry::Always)), (UNSAFE, route(Retry::OnlyIfNotRun))]);
     Rc::new(Table { version, routes })
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1,5 +1,6 @@
 //! Decisions on opaque flows: rules in tables, faults found on the bench, replayed load patterns and random sequences.
 
+mod admission;
 mod build;
 mod fuzz;
 mod load;
@@ -485,3 +486,58 @@
     }
     assert!(messages <= 2 * NODES * NODES, "{messages}");
 }
+
+/// A repeated packet that arrives after the answer is no further request: it would count as work for as long as the flow
+/// is idle.
+#[test]
+fn a_repeated_packet_is_no_new_request() {
+    let now = Instant::now();
+    let mut agent = started(A, now);
+    let mut out = Vec::new();
+    agent.returned(&from_backend(1, 500), now, &mut out);
+    agent.packet(&data(1, 501), via(BALANCER), &Members::default(), now, &mut out);
+    assert_eq!(agent.load(now).busy, 1);
+    let mut answer = from_backend(1, 501);
+    answer.data_len = 1_000;
+    agent.returned(&answer, now + 50 * MS, &mut out);
+    agent.packet(
+        &data(1, 501),
+        via(BALANCER),
+        &Members::default(),
+        now + 60 * MS,
+        &mut out,
+    );
+    assert_eq!(agent.load(now).busy, 0);
+    let mut next = data(1, 1_501);
+    next.seq += u32::from(next.data_len);
+    agent.packet(&next, via(BALANCER), &Members::default(), now + 70 * MS, &mut out);
+    assert_eq!(agent.load(now).busy, 1);
+}
+
+/// A backend server that is loaded gets a SYN when it has answered others; without room the client's try ends with the
+/// wait of its last copy, in time for the next try.
+#[test]
+fn a_syn_waits_until_there_is_room() {
+    let now = Instant::now();
+    let mut agent = started(A, now);
+    let mut out = Vec::new();
+    let requests = 3 * 7;
+    for port in 0..requests {
+        agent.returned(&from_backend(port, 500), now, &mut out);
+        agent.packet(&data(port, 501), via(BALANCER), &Members::default(), now, &mut out);
+    }
+    for (port, copy) in [(100, 0), (101, 2)] {
+        out.clear();
+        agent.packet(&syn(port, copy), via(BALANCER), &Members::default(), now, &mut out);
+        assert!(out.contains(&Effect::Hold { flow: flow(port) }), "{out:?}");
+    }
+    let mut answer = from_backend(1, 501);
+    answer.data_len = 1_000;
+    out.clear();
+    agent.returned(&answer, now + 50 * MS, &mut out);
+    assert!(out.contains(&Effect::Release { flow: flow(100) }), "{out:?}");
+    out.clear();
+    agent.tick(&Members::default(), now + 200 * MS, &mut out);
+    assert!(out.contains(&Effect::Discard { flow: flow(101) }), "{out:?}");
+    assert_eq!(resets(&out), 1);
+}
