Do not reset copies of a SYN

The last copy of a SYN waited at a loaded agent and was reset, while another agent had taken an earlier copy and the flow was open. The same could happen where no agent takes new flows any more.

Change: a SYN that has waited for too long is forgotten, and the last copy, after which the client waits 800 ms more, may wait 700 ms. Agents and balancers reset a refused SYN only if it is the first one of its try.

The test that expected the reset of the last copy was wrong and now expects none; `a_syn_is_reset_only_if_all_agents_are_known_to_refuse` checks the copy.

--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -28,6 +28,8 @@
 const LAST_COPY: u32 = 2;
 /// Longest wait of a SYN: its next copy is on the way to another agent then.
 const MAX_WAIT: Duration = Duration::from_millis(190);
+/// The same for the last copy; the client's try ends 800 ms after it.
+const MAX_LAST_WAIT: Duration = Duration::from_millis(700);
 /// SYNs that wait at the same time. More cannot be handed over within their wait.
 const MAX_WAITING: usize = 256;
 
@@ -74,10 +76,14 @@
         work.slots == 0 || work.requests < work.slots || in_time
     }
 
-    /// Whether the client sends no further copy, so that its try ends with this one.
+    /// Whether the client sends no further copy.
     fn is_last(&self) -> bool {
         self.copy >= LAST_COPY
     }
+
+    fn max_wait(&self) -> Duration {
+        if self.is_last() { MAX_LAST_WAIT } else { MAX_WAIT }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -100,7 +106,7 @@
             return true;
         }
         if self.waiting.len() < MAX_WAITING {
-            let expires_at = now + MAX_WAIT;
+            let expires_at = now + opening.max_wait();
             self.waiting.push(Entry { opening, expires_at });
         }
         false
@@ -116,21 +122,19 @@
         Some(self.waiting.remove(index).opening)
     }
 
-    /// Removes the SYNs that have waited for too long. True for those whose client sends no further copy.
-    pub fn expire(&mut self, now: Instant) -> Vec<(Flow, bool)> {
+    /// Removes the SYNs that have waited for too long. They are not reset: another agent may have taken a copy.
+    pub fn expire(&mut self, now: Instant) -> Vec<Flow> {
         self.remove(|entry| now >= entry.expires_at)
     }
 
     /// Removes all SYNs.
-    pub fn clear(&mut self) -> Vec<(Flow, bool)> {
+    pub fn clear(&mut self) -> Vec<Flow> {
         self.remove(|_| true)
     }
 
-    fn remove(&mut self, admits: impl Fn(&Entry) -> bool) -> Vec<(Flow, bool)> {
+    fn remove(&mut self, admits: impl Fn(&Entry) -> bool) -> Vec<Flow> {
         let removed = self.waiting.extract_if(.., |entry| admits(entry));
-        removed
-            .map(|entry| (entry.opening.flow, entry.opening.is_last()))
-            .collect()
+        removed.map(|entry| entry.opening.flow).collect()
     }
 
     /// Number of SYNs that wait.
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -367,7 +367,7 @@
         let balancer = Some(via.balancer);
         let accepted = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
         if !accepted {
-            self.divert(flow, via.origin(), members, now, out);
+            self.divert(segment, via.origin(), members, now, out);
             return;
         }
         self.searches.claim(flow);
@@ -410,13 +410,7 @@
         } else {
             self.queue.clear()
         };
-        for (flow, last) in removed {
-            out.push(Effect::Discard { flow });
-            if last {
-                log(out, flow, "reset: backend server stayed loaded");
-                out.push(Effect::Reset { flow, seq: 0 });
-            }
-        }
+        out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
         while open && let Some(opening) = self.queue.next(self.work(now)) {
             let flow = opening.flow;
             let balancer = Some(opening.balancer);
@@ -444,8 +438,10 @@
         }
     }
 
-    /// Passes a SYN to the sibling with the least work, or refuses it if nobody takes it.
-    fn divert(&self, flow: Flow, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+    /// Passes a SYN to the sibling with the least work, or refuses it if nobody takes it. A copy is not reset: an agent that
+    /// takes no new flows any more may have taken an earlier one.
+    fn divert(&self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        let flow = segment.from_client();
         match self.sibling(flow, members, now) {
             Some(to) if from.hops < MAX_HOPS => {
                 log(out, flow, "divert: backend server takes no new flow");
@@ -454,6 +450,7 @@
             None if members.iter().any(|member| member.is_starting(&self.service, now)) => {
                 log(out, flow, "drop: agents are starting");
             }
+            _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
             _ => {
                 log(out, flow, "reset: no backend server takes the flow");
                 out.push(Effect::Reset { flow, seq: 0 });
@@ -582,7 +579,7 @@
             }
             self.table.remove(flow);
             self.full_until = now + FULL;
-            self.divert(flow, Origin::of(entry), members, now, out);
+            self.divert(segment, Origin::of(entry), members, now, out);
             return;
         }
         if let Some(probe) = self.probes.remove(&flow) {
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -204,7 +204,7 @@
 
 /// No agent reports that it takes new flows. After a start of the balancer those that have not been heard may
 /// take them all the same, and each copy of a SYN tries another one. A reset would cost the client one of its few
-/// tries, so it is sent only if all agents are known to refuse.
+/// tries, so it is sent only if all agents are known to refuse, and not to a copy: an earlier one may have been taken.
 fn open_anyway(segment: &Segment, service: &Bytes, members: &Members, now: Instant) -> Decision {
     let flow = segment.from_client();
     let starting = members.iter().filter(|member| member.is_starting(service, now));
@@ -225,6 +225,11 @@
             reason: "no_agent_known",
         };
     }
+    if segment.ack > 0 {
+        return Decision::Drop {
+            reason: "no_agent_open",
+        };
+    }
     Decision::Reset {
         seq: 0,
         reason: "no_agent_open",
