Give few flows to backend servers that fail their requests

Change: agents report the share of requests that were reset, or had no answer within a second, by their backend server. Placement counts one above 15% with a tenth of its speed; the share halves in 4 s, and the few flows left show a recovery. Resets beyond five requests a slot are taken for overload.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -287,6 +287,7 @@
             flows: self.table.open(),
             cold: self.backend.is_cold(now),
             latency_ms: u32::try_from(self.table.service_time().as_millis()).unwrap_or(u32::MAX),
+            failed_percent: self.table.failed_percent(),
         }
     }
 
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -75,6 +75,8 @@
     pub cold: bool,
     /// Mean time that a request takes in a slot in milliseconds; 0 if it is not known.
     pub latency_ms: u32,
+    /// Share of the last requests that the backend server reset or left unanswered, in percent.
+    pub failed_percent: u32,
 }
 
 /// A node.
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -25,6 +25,8 @@
 const SLOW: f64 = 1.5;
 /// Least speed that a slow backend server counts with, so that its recovery shows.
 const MIN_SPEED: f64 = 0.1;
+/// Share of failed requests, in percent, up to which a backend server counts as sound.
+const SOUND_PERCENT: u32 = 15;
 /// Slots of a backend server whose agent does not know them yet.
 const UNKNOWN_SLOTS: u32 = 4;
 /// Candidates of the own data centre, of which the less loaded is taken.
@@ -96,8 +98,14 @@
 }
 
 /// Gives each candidate its speed: a backend server at which requests take much longer than at most others is slow, also
-/// if its own health check says nothing of it.
+/// if its own health check says nothing of it. One that fails requests keeps a small part of its flows, which show its
+/// recovery, and all of them if it has no sound sibling.
 fn rate(candidates: &mut [Candidate]) {
+    for candidate in &mut *candidates {
+        if candidate.load.failed_percent > SOUND_PERCENT {
+            candidate.speed = MIN_SPEED;
+        }
+    }
     let mut latencies: Vec<_> = candidates.iter().map(|candidate| candidate.load.latency_ms).collect();
     latencies.retain(|latency| *latency > 0);
     latencies.sort_unstable();
@@ -107,7 +115,7 @@
     for candidate in candidates {
         let latency = f64::from(candidate.load.latency_ms);
         if latency > median * SLOW {
-            candidate.speed = (median / latency).max(MIN_SPEED);
+            candidate.speed = candidate.speed.min(median / latency).max(MIN_SPEED);
         }
     }
 }
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -24,6 +24,15 @@
 const ACK_WINDOW: u32 = 1 << 22;
 /// Weight of the newest request in the mean time that a request takes in a slot.
 const SERVICE_GAIN: f64 = 0.1;
+/// Weight of the newest request in the share of failed ones.
+const FAILURE_GAIN: f64 = 0.2;
+/// Part of the share of failed requests that is left after each tick of 100 ms: half of it after 4 s, so that a backend
+/// server that gets few flows is tried again.
+const FAILURE_DECAY: f64 = 0.983;
+/// Age at which a request without an answer counts as failed. Most deadlines are longer.
+const UNANSWERED: Duration = Duration::from_secs(1);
+/// Requests for each slot beyond which a backend server resets flows because it is overloaded, not because it is broken.
+const OVERLOAD_PER_SLOT: u32 = 5;
 /// Time from a SYN to the first request of the flow: two round trips to a client of another data centre, with some slack.
 const FIRST_REQUEST: Duration = Duration::from_millis(60);
 
@@ -72,6 +81,8 @@
     started: Instant,
     /// Requests in progress when it came, itself included.
     position: u32,
+    /// Whether it was counted as failed.
+    failed: bool,
 }
 
 /// All flows of one backend server.
@@ -80,6 +91,7 @@
     flows: HashMap<Flow, Entry>,
     busy: u32,
     service_ms: f64,
+    failed: f64,
 }
 
 /// Age at which a flow gets pointers; flows of one short request need none.
@@ -153,6 +165,7 @@
             entry.request = Some(Request {
                 started: now,
                 position: self.busy,
+                failed: false,
             });
         }
         if segment.flags.contains(Flags::RST) {
@@ -183,8 +196,14 @@
             let rounds = f64::from(request.position) / f64::from(slots.max(1));
             let service_ms = taken.as_secs_f64() * 1_000.0 / rounds.max(1.0);
             self.service_ms += SERVICE_GAIN * (service_ms - self.service_ms);
+            self.failed -= FAILURE_GAIN * self.failed;
         }
-        if segment.flags.contains(Flags::RST) || segment.flags.contains(Flags::FIN) {
+        let reset = segment.flags.contains(Flags::RST);
+        let overloaded = self.busy > slots * OVERLOAD_PER_SLOT;
+        if reset && !overloaded && self.flows[&flow].request.is_some() {
+            self.failed += FAILURE_GAIN * (1.0 - self.failed);
+        }
+        if reset || segment.flags.contains(Flags::FIN) {
             self.end(flow, now);
         }
         taken
@@ -198,9 +217,26 @@
         }
     }
 
-    /// Drops flows that are over or idle.
+    /// Drops flows that are over or idle, and counts requests that stay without an answer. Called each tick.
     pub fn expire(&mut self, now: Instant) {
         self.extract(|entry| now >= entry.discard_at);
+        self.failed *= FAILURE_DECAY;
+        for request in self.flows.values_mut().filter_map(|entry| entry.request.as_mut()) {
+            if !request.failed && now >= request.started + UNANSWERED {
+                request.failed = true;
+                self.failed += FAILURE_GAIN * (1.0 - self.failed);
+            }
+        }
+    }
+
+    /// Share of the last requests that the backend server reset or left unanswered, in percent.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share is between 0 and 1"
+    )]
+    pub fn failed_percent(&self) -> u32 {
+        (self.failed * 100.0) as u32
     }
 
     /// Flows to change in place.
--- a/crates/dogwoodpitch/tests/steering/load.rs
+++ b/crates/dogwoodpitch/tests/steering/load.rs
@@ -139,6 +139,42 @@
     f64::from(late) / f64::from(count)
 }
 
+/// Share of the flows that a backend server gets while it fails a part of its requests, at once and so with little load.
+fn share_of_failing(failed_percent: [u32; BACKENDS], seed: u64) -> f64 {
+    const FLOWS: u32 = 2_000;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut taken = 0;
+    for _ in 0..FLOWS {
+        let flow = Flow {
+            client: SocketAddrV4::new(Ipv4Addr::from(rng.random::<u32>()), rng.random()),
+            service: SERVICE,
+        };
+        let candidates = (0_u8..).zip(failed_percent).map(|(index, failed_percent)| Candidate {
+            ip: Ipv4Addr::new(10, 1, 0, index),
+            near: true,
+            load: Load {
+                slots: SLOTS,
+                failed_percent,
+                ..Load::default()
+            },
+            busy: if failed_percent > 0 { 0.0 } else { 3.0 },
+            placed: 0,
+            speed: 1.0,
+        });
+        taken += u32::from(placement::choose(flow, candidates).unwrap().ip == Ipv4Addr::new(10, 1, 0, 0));
+    }
+    f64::from(taken) / f64::from(FLOWS)
+}
+
+/// A backend server that resets all its requests looks idle and must not draw the flows of the others; if all fail, the
+/// flows are spread as usual.
+#[test]
+fn a_failing_backend_server_gets_few_flows() {
+    let fair = 1.0 / 7.0;
+    assert!(share_of_failing([100, 0, 0, 0, 0, 0, 0], 1) < fair / 2.0);
+    assert!(share_of_failing([100; BACKENDS], 1) > fair / 2.0);
+}
+
 fn compare(per_s: f64, speeds: [f64; BACKENDS]) -> BTreeMap<Policy, f64> {
     [Policy::Product, Policy::Hash, Policy::RoundRobin, Policy::LeastLoad]
         .into_iter()
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -554,3 +554,47 @@
     assert!(out.contains(&Effect::Discard { flow: flow(101) }), "{out:?}");
     assert_eq!(resets(&out), 0);
 }
+
+/// nhsc-edge-grown trouble-1 from 2.4 s on: backend servers that are healthy by their own word reset each request or leave
+/// it without an answer. They must show in the load of their agents, and be tried again later.
+#[test]
+fn failing_backend_servers_show_in_the_load() {
+    for answers in [true, false] {
+        let now = Instant::now();
+        let mut agent = started(A, now);
+        let mut out = Vec::new();
+        for port in 0..10 {
+            agent.returned(&from_backend(port, 500), now, &mut out);
+            agent.packet(&data(port, 501), via(BALANCER), &Members::default(), now, &mut out);
+            if answers {
+                let mut reset = from_backend(port, 501);
+                reset.flags = Flags::RST;
+                agent.returned(&reset, now + 5 * MS, &mut out);
+            }
+        }
+        agent.tick(&Members::default(), now + 1_100 * MS, &mut out);
+        assert!(agent.load(now).failed_percent > 80);
+        for tick in 0..100 {
+            agent.tick(&Members::default(), now + (1_200 + tick * 100) * MS, &mut out);
+        }
+        assert!(agent.load(now).failed_percent < 30);
+    }
+}
+
+/// Resets of a backend server that has far more requests than it can queue say nothing of its health.
+#[test]
+fn an_overloaded_backend_server_is_not_a_failing_one() {
+    let now = Instant::now();
+    let mut agent = started(A, now);
+    let mut out = Vec::new();
+    for port in 0..60 {
+        agent.returned(&from_backend(port, 500), now, &mut out);
+        agent.packet(&data(port, 501), via(BALANCER), &Members::default(), now, &mut out);
+    }
+    for port in 0..20 {
+        let mut reset = from_backend(port, 501);
+        reset.flags = Flags::RST;
+        agent.returned(&reset, now + 5 * MS, &mut out);
+    }
+    assert_eq!(agent.load(now).failed_percent, 0);
+}
