Keep the announcement of the process that ran before

Cause: each process that starts reads the list of nodes, grants a lease, writes its announcement and reads the list again, although the announcement of the process before it lasts for a minute.

Change: items of the store carry their lease. A node that finds its own announcement in the list renews that lease and writes nothing.

--- a/crates/dogwoodpitch/src/coordination/kv.rs
+++ b/crates/dogwoodpitch/src/coordination/kv.rs
@@ -21,6 +21,8 @@
     pub key: Bytes,
     /// Value.
     pub value: Bytes,
+    /// Lease that the key ends with; 0 for none.
+    pub lease: u64,
 }
 
 /// Result of a read or of a watch.
@@ -49,8 +51,8 @@
     pub list: Box<dyn Fn(String, bool, Instant) -> Answer<Reading>>,
     /// Waits for changes under a prefix after a revision.
     pub watch: Box<dyn Fn(String, u64, Instant) -> Answer<Watch>>,
-    /// Writes a key under a lease. False if there is no such lease.
-    pub put: Box<dyn Fn(Item, u64, Instant) -> Answer<bool>>,
+    /// Writes a key under its lease. False if there is no such lease.
+    pub put: Box<dyn Fn(Item, Instant) -> Answer<bool>>,
     /// Grants a lease of a time to live.
     pub grant: Box<dyn Fn(Duration, Instant) -> Answer<u64>>,
     /// Renews a lease. False if it has ended.
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -41,20 +41,22 @@
 /// Announces the node and reads the list of the others, as long as the process runs.
 pub(super) async fn announce(node: Rc<Node>) {
     greet_seeds(&node);
-    if let Err(error) = list(&node, false).await {
-        log::warn!(event = "store.unavailable", call = "list", error:% = error; "others cannot be listed yet");
-    }
     let mut pause = MIN_PAUSE;
     let mut renew_at = Instant::now();
     let mut stale = false;
     loop {
         let now = Instant::now();
         let result: Result<(), Error> = async {
+            // The list may show the announcement of the process that ran here before, which is kept.
+            list(&node, stale).await?;
             if now >= renew_at {
-                renew(&node).await?;
+                let renewal = renew(&node).await?;
                 renew_at = now + RENEW_INTERVAL;
+                if renewal == Renewal::Written {
+                    // Others may have announced themselves since the list was read.
+                    list(&node, false).await?;
+                }
             }
-            list(&node, stale).await?;
             agent::decide(&node, &[], |agent, _, _| agent.announced());
             Ok(())
         }
@@ -86,12 +88,21 @@
     node.discover(seeds);
 }
 
-async fn renew(node: &Node) -> Result<(), Error> {
+/// How a node is announced after a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Renewal {
+    /// By the announcement that was there.
+    Kept,
+    /// By a new one.
+    Written,
+}
+
+async fn renew(node: &Node) -> Result<Renewal, Error> {
     let store = &node.platform.store;
     let deadline = || Instant::now() + CALL_TIMEOUT;
     if let Some(lease) = node.lease.get() {
         if (store.keep_alive)(lease, deadline()).await? {
-            return Ok(());
+            return Ok(Renewal::Kept);
         }
         log::warn!(event = "lease.lost", lease; "the announcement was removed; announcing again");
         node.lease.set(None);
@@ -102,13 +113,14 @@
     let item = Item {
         key: format!("{NODE}{}", node.settings.ip).into(),
         value: value.into(),
+        lease,
     };
-    if !(store.put)(item, lease, deadline()).await? {
+    if !(store.put)(item, deadline()).await? {
         let text = "the lease ended before the announcement was written".to_owned();
         return Err(Error::Unavailable { text });
     }
     node.lease.set(Some(lease));
-    Ok(())
+    Ok(Renewal::Written)
 }
 
 async fn list(node: &Rc<Node>, stale: bool) -> Result<(), Error> {
@@ -117,7 +129,7 @@
     for item in reading.items {
         match parse(&item) {
             Some((ip, report)) if ip != node.settings.ip => listed.push((ip, report)),
-            Some(_) => {}
+            Some((_, report)) => adopt(node, &report, item.lease),
             None => reject(node.settings.ip, "entry of a node in the store is malformed"),
         }
     }
@@ -134,6 +146,13 @@
     Ok(())
 }
 
+/// Goes on with the announcement of the process that ran here before, if it still says what others need to know.
+fn adopt(node: &Node, announced: &Report, lease: u64) {
+    if node.lease.get().is_none() && lease != 0 && announced.names_same_node(&node.report(false)) {
+        node.lease.set(Some(lease));
+    }
+}
+
 fn parse(item: &Item) -> Option<(Ipv4Addr, Report)> {
     let key = std::str::from_utf8(&item.key).ok()?;
     let ip = key.strip_prefix(NODE)?.parse().ok()?;
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -62,6 +62,13 @@
     pub greeting: bool,
 }
 
+impl Report {
+    /// Whether another report tells of the same node, whatever process runs there and however it is used.
+    pub fn names_same_node(&self, other: &Self) -> bool {
+        self.role == other.role && self.data_centre == other.data_centre && self.service == other.service
+    }
+}
+
 /// Load of the backend server beside an agent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
