Encode reports without field names

Cause: names were two thirds of a report's bytes.

Change: `Report` and `Load` are encoded as arrays, like the load of the QUIC interface. `tests/codec.rs` checks that they survive and that a list of nodes fits into a datagram.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -44,8 +44,6 @@
 const REPORT_TICKS: u64 = 5;
 /// A longer tick means that the process stood still and has not read the reports of others.
 const STALL: Duration = Duration::from_millis(400);
-/// Nodes in one message; it must fit into a datagram.
-const NODES_IN_MESSAGE: usize = 8;
 
 /// State of the role.
 #[derive(Debug)]
@@ -302,7 +300,7 @@
             .filter(|member| member.ip != to && member.heard)
             .map(|member| (member.ip, member.report.clone()))
             .collect();
-        for nodes in nodes.chunks(NODES_IN_MESSAGE) {
+        for nodes in nodes.chunks(steer::NODES_IN_MESSAGE) {
             self.tell(to, &Message::Nodes(nodes.to_vec()));
         }
     }
--- a/crates/dogwoodpitch/src/protocol/steer.rs
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -15,6 +15,8 @@
 
 /// Bytes before the payload.
 pub const HEADER_LEN: usize = 16;
+/// Nodes in one [`Message::Nodes`]; it must fit into a datagram.
+pub const NODES_IN_MESSAGE: usize = 8;
 const MAGIC: u8 = 0xd7;
 const GUESSED: u8 = 1;
 
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -39,8 +39,10 @@
     Leaving,
 }
 
-/// What a node tells the others of itself.
+/// What a node tells the others of itself. It is encoded without field names: each agent sends it to all balancers five
+/// times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "ReportFields", into = "ReportFields")]
 pub struct Report {
     /// Role of the node.
     pub role: Role,
@@ -69,8 +71,43 @@
     }
 }
 
-/// Load of the backend server beside an agent.
+type ReportFields = (Role, u64, u64, Bytes, Bytes, Stance, Load, u64, bool);
+
+impl From<Report> for ReportFields {
+    fn from(report: Report) -> Self {
+        (
+            report.role,
+            report.incarnation,
+            report.number,
+            report.data_centre,
+            report.service,
+            report.stance,
+            report.load,
+            report.version,
+            report.greeting,
+        )
+    }
+}
+
+impl From<ReportFields> for Report {
+    fn from(fields: ReportFields) -> Self {
+        Self {
+            role: fields.0,
+            incarnation: fields.1,
+            number: fields.2,
+            data_centre: fields.3,
+            service: fields.4,
+            stance: fields.5,
+            load: fields.6,
+            version: fields.7,
+            greeting: fields.8,
+        }
+    }
+}
+
+/// Load of the backend server beside an agent. It is encoded without field names, like [`Report`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LoadFields", into = "LoadFields")]
 pub struct Load {
     /// Requests that run at the same time.
     pub slots: u32,
@@ -86,6 +123,34 @@
     pub failed_percent: u32,
 }
 
+type LoadFields = (u32, u32, u32, bool, u32, u32);
+
+impl From<Load> for LoadFields {
+    fn from(load: Load) -> Self {
+        (
+            load.slots,
+            load.busy,
+            load.flows,
+            load.cold,
+            load.latency_ms,
+            load.failed_percent,
+        )
+    }
+}
+
+impl From<LoadFields> for Load {
+    fn from(fields: LoadFields) -> Self {
+        Self {
+            slots: fields.0,
+            busy: fields.1,
+            flows: fields.2,
+            cold: fields.3,
+            latency_ms: fields.4,
+            failed_percent: fields.5,
+        }
+    }
+}
+
 /// A node.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -1,4 +1,4 @@
-//! Formats of the packet path: connection IDs, frame tags, PROXY protocol headers, QUIC headers.
+//! Formats of the packet path: connection IDs, frame tags, PROXY protocol headers, QUIC headers, messages between nodes.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -7,8 +7,14 @@
         cid::{self, Codec, Target},
         datagram::{self, Header, Kind},
         proxy, quic,
+        steer::{self, Message},
     },
-    state::service::Id,
+    state::{
+        roster::Role,
+        service::Id,
+        steering::member::{Load, Report, Stance},
+    },
+    transport::udp::MAX_DATAGRAM,
 };
 
 const FRAME_KEY: datagram::Key = datagram::Key([7; 16]);
@@ -91,3 +97,43 @@
     assert!(proxy::Header::decode(&proxy::LOCAL).is_none());
     assert!(!proxy::is_local(&proxy::LOCAL[..12]));
 }
+
+fn report() -> Report {
+    Report {
+        role: Role::Balancer,
+        incarnation: u64::MAX,
+        number: u64::from(u32::MAX),
+        data_centre: "nasr-city".into(),
+        service: "order-board".into(),
+        stance: Stance::Restarting,
+        load: Load {
+            slots: 1_000,
+            busy: 20_000,
+            flows: 20_000,
+            cold: true,
+            latency_ms: 70_000,
+            failed_percent: 100,
+        },
+        version: u64::from(u32::MAX),
+        greeting: true,
+    }
+}
+
+/// Fields have no names on the wire, so their order counts.
+#[test]
+fn reports_survive_encoding() {
+    let message = Message::Report(report());
+    let bytes = steer::encode(&message);
+    assert_eq!(steer::decode(&bytes).unwrap(), message);
+    for len in 0..bytes.len() {
+        assert!(steer::decode(&bytes[..len]).is_err(), "{len} bytes");
+    }
+}
+
+/// A list that does not fit into a datagram would be lost each time.
+#[test]
+fn a_list_of_nodes_fits_into_a_datagram() {
+    let nodes = vec![(Ipv4Addr::BROADCAST, report()); steer::NODES_IN_MESSAGE];
+    let bytes = steer::encode(&Message::Nodes(nodes));
+    assert!(steer::HEADER_LEN + bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
+}
