Try reads again while earlier ones are pending, where nothing is known yet

Change: `kv::read_hedged` begins a further read after each interval: 250 ms for the configuration, 500 ms for the first list. While nothing is known the pause after a failure stays short, too.

--- a/crates/dogwoodpitch/src/coordination/kv.rs
+++ b/crates/dogwoodpitch/src/coordination/kv.rs
@@ -8,8 +8,9 @@
 };
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 
-use crate::coordination::store::Error;
+use crate::{coordination::store::Error, transport::time};
 
 /// Pending answer of a store.
 pub type Answer<T> = Pin<Box<dyn Future<Output = Result<T, Error>>>>;
@@ -66,3 +67,26 @@
         f.write_str("Store")
     }
 }
+
+/// Reads from a store that may be silent. Further tries begin after each interval while earlier ones are pending, so that the
+/// first moment at which the store answers again counts, not the end of a try that it never got.
+pub async fn read_hedged<T>(read: impl Fn() -> Answer<T>, interval: Duration, deadline: Instant) -> Result<T, Error> {
+    let mut pending = FuturesUnordered::new();
+    let mut failure = None;
+    loop {
+        pending.push(read());
+        let next_try = (Instant::now() + interval).min(deadline);
+        while let Some(answer) = time::before(next_try, pending.next()).await.flatten() {
+            match answer {
+                Ok(value) => return Ok(value),
+                Err(error) => failure = Some(error),
+            }
+        }
+        time::sleep_until(next_try).await;
+        if next_try == deadline {
+            return Err(failure.unwrap_or_else(|| Error::Unavailable {
+                text: "the store did not answer".to_owned(),
+            }));
+        }
+    }
+}
--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     coordination::{
-        kv::{Reading, Watch},
+        kv::{self, Reading, Watch},
         steering::{
             agent,
             node::{Node, State},
@@ -26,6 +26,9 @@
 
 /// Time for one read of the store. It answers in milliseconds; a slow one takes a third of a second.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two tries of a read while earlier ones are pending. A slow store takes a third of a second, and then
+/// answers one try too many.
+const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a watch; the store ends it then, and a silent connection shows.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause after the first failure; it doubles up to [`MAX_PAUSE`].
@@ -62,7 +65,9 @@
             log::warn!(event = "store.unavailable", call = "config", error:% = error; "configuration cannot be read");
         }
         let next = Instant::now() + pause.mul_f64(rand::rng().random_range(0.6..1.4));
-        pause = (pause * 2).min(MAX_PAUSE);
+        // Without routes nothing is served, so the store must be found soon after it is back.
+        let max_pause = if node.routes().is_known() { MAX_PAUSE } else { MIN_PAUSE };
+        pause = (pause * 2).min(max_pause);
         time::sleep_until(next).await;
     }
 }
@@ -70,7 +75,8 @@
 async fn read_and_watch(node: &Rc<Node>, pause: &mut Duration) -> Result<(), crate::coordination::store::Error> {
     let key = node.platform.config_key;
     let store = &node.platform.store;
-    let reading = (store.get)(key.to_owned(), Instant::now() + READ_TIMEOUT).await?;
+    let deadline = Instant::now() + READ_TIMEOUT;
+    let reading = kv::read_hedged(|| (store.get)(key.to_owned(), deadline), HEDGE_INTERVAL, deadline).await?;
     let mut revision = reading.revision;
     take(node, reading, "store");
     loop {
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     coordination::{
-        kv::Item,
+        kv::{self, Item},
         steering::{
             agent,
             node::{Node, reject},
@@ -29,6 +29,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(18);
 /// Time for one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two tries of the first list while earlier ones are pending. It is less urgent than the routes, because
+/// nodes also greet each other.
+const HEDGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after the first failure; it doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two tries.
@@ -74,7 +77,9 @@
                 );
                 greet_seeds(&node);
                 let next = Instant::now() + pause.mul_f64(rand::rng().random_range(0.6..1.4));
-                pause = (pause * 2).min(MAX_PAUSE);
+                // An agent that does not know all others cannot tell that nobody holds a flow.
+                let max_pause = if stale { MAX_PAUSE } else { MIN_PAUSE };
+                pause = (pause * 2).min(max_pause);
                 next
             }
         };
@@ -124,7 +129,10 @@
 }
 
 async fn list(node: &Rc<Node>, stale: bool) -> Result<(), Error> {
-    let reading = (node.platform.store.list)(NODE.to_owned(), stale, Instant::now() + CALL_TIMEOUT).await?;
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let read = || (node.platform.store.list)(NODE.to_owned(), stale, deadline);
+    let interval = if stale { CALL_TIMEOUT } else { HEDGE_INTERVAL };
+    let reading = kv::read_hedged(read, interval, deadline).await?;
     let mut listed = Vec::new();
     for item in reading.items {
         match parse(&item) {
