Begin no search for a probe that comes back late

Change: one probe answers all agents that ask meanwhile. A returned packet of a flow that is neither in the table nor probed is dropped.

`returned_probes_begin_no_search` failed before.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -213,9 +213,9 @@
 }
 
 /// A packet that was handed to the backend server to find out whether it holds the flow.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Probe {
-    asker: Ipv4Addr,
+    askers: BTreeSet<Ipv4Addr>,
     expires_at: Instant,
 }
 
@@ -506,8 +506,7 @@
         }
         log(out, flow, "search: owner is not known");
         if probes_own {
-            self.probe(flow, self.ip, now);
-            out.push(Effect::Deliver);
+            self.probe(flow, self.ip, now, out);
         }
         let balancer = from.balancer;
         let siblings = asked.into_iter().filter(|ip| *ip != self.ip && !ip.is_unspecified());
@@ -546,12 +545,19 @@
         !self.complete && !ended
     }
 
-    fn probe(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant) {
+    /// Hands the packet at hand to the backend server. One probe answers all that ask meanwhile.
+    fn probe(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant, out: &mut Vec<Effect>) {
+        let pending = self.probes.get_mut(&flow).filter(|probe| now < probe.expires_at);
+        if let Some(probe) = pending {
+            probe.askers.insert(asker);
+            return;
+        }
         let probe = Probe {
-            asker,
+            askers: BTreeSet::from([asker]),
             expires_at: now + PROBE,
         };
         self.probes.insert(flow, probe);
+        out.push(Effect::Deliver);
     }
 
     /// Answers the question of another agent whether this one holds the flow of a packet.
@@ -562,8 +568,7 @@
             tell(out, via.sender, Note::Claim(flow));
             tell(out, via.balancer, Note::Learn(flow));
         } else if self.needs_probe() {
-            self.probe(flow, via.sender, now);
-            out.push(Effect::Deliver);
+            self.probe(flow, via.sender, now, out);
         } else {
             tell(out, via.sender, Note::Deny(flow));
         }
@@ -584,7 +589,7 @@
             return;
         }
         if let Some(probe) = self.probes.remove(&flow) {
-            self.deny(flow, probe.asker, now, out);
+            self.deny(flow, &probe, now, out);
             return;
         }
         match self.table.remove(flow) {
@@ -595,7 +600,9 @@
                 log(out, flow, "reset: backend server dropped the flow");
                 out.push(Effect::Reset { flow, seq: segment.ack });
             }
-            _ => self.search(segment, Origin::of(entry), members, now, out),
+            Some(_) => self.search(segment, Origin::of(entry), members, now, out),
+            // A late answer to a probe. Another search would be answered by further probes, and never end.
+            None => {}
         }
     }
 
@@ -607,7 +614,7 @@
             // A backend server that has just started resets flows that it never held; another one may hold this flow.
             log(out, flow, "drop: reset of a flow that is not in the table");
             if let Some(probe) = probe {
-                self.deny(flow, probe.asker, now, out);
+                self.deny(flow, &probe, now, out);
             }
             return;
         }
@@ -625,19 +632,21 @@
         self.serve_queue(now, out);
         if let Some(probe) = probe {
             self.searches.claim(flow);
-            if probe.asker != self.ip {
-                tell(out, probe.asker, Note::Claim(flow));
+            for asker in probe.askers.into_iter().filter(|asker| *asker != self.ip) {
+                tell(out, asker, Note::Claim(flow));
             }
         }
     }
 
-    /// Answers a search: the backend server does not hold the flow.
-    fn deny(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant, out: &mut Vec<Effect>) {
-        if asker == self.ip {
-            let progress = self.searches.deny(flow, self.ip, now);
-            reset_if_nobody(flow, &progress, out);
-        } else {
-            tell(out, asker, Note::Deny(flow));
+    /// Answers the searches that a probe was for: the backend server does not hold the flow.
+    fn deny(&mut self, flow: Flow, probe: &Probe, now: Instant, out: &mut Vec<Effect>) {
+        for asker in &probe.askers {
+            if *asker == self.ip {
+                let progress = self.searches.deny(flow, self.ip, now);
+                reset_if_nobody(flow, &progress, out);
+            } else {
+                tell(out, *asker, Note::Deny(flow));
+            }
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -22,7 +22,8 @@
 };
 
 use build::{
-    A, B, BALANCER, C, SERVICE, agent, agent_report, beat, data, flow, from_backend, members, routes, started, syn, via,
+    A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_at, agent_report, beat, data, flow, from_backend, members,
+    routes, started, syn, via,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -598,3 +599,29 @@
     }
     assert_eq!(agent.load(now).failed_percent, 0);
 }
+
+/// nhsc-edge-grown trouble-3 from 35 s on: all processes had been killed, two agents asked for the same flow, and the second
+/// packet that the backend server returned began a new search at each sibling. 11,000 questions a second reached each agent
+/// until the end of the day.
+#[test]
+fn returned_probes_begin_no_search() {
+    let now = Instant::now();
+    let siblings = members(&[B, C], Stance::Open, now);
+    let mut agent = agent_at(A, now, STARTED_MS + 60_000);
+    agent.heartbeat(&beat(1, 9, false), now, &mut Vec::new());
+    let mut out = Vec::new();
+    agent.asked(&data(1, 501), via(B), now, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+    out.clear();
+    agent.asked(&data(1, 501), via(C), now, &mut out);
+    assert_eq!(out, []);
+    agent.bounced(&data(1, 501), &siblings, now + 10 * MS, &mut out);
+    let deny = |to| Effect::Tell {
+        to,
+        note: Note::Deny(flow(1)),
+    };
+    assert_eq!(out, [deny(B), deny(C)]);
+    out.clear();
+    agent.bounced(&data(1, 501), &siblings, now + 20 * MS, &mut out);
+    assert_eq!(out, []);
+}
