Ask only agents that may hold flows

Change: reports say whether an agent has no backend server. Such agents and those that leave are neither asked nor get pointers or packets of unknown flows. One without a backend server denies at once, takes no new flow, and tells all nodes when that changes.

Both tests failed before.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -96,7 +96,7 @@
 /// Takes a call of the backend server. Returns whether it counts.
 fn take_call(node: &Rc<Node>, call: &Call) -> bool {
     let now = Instant::now();
-    let before = node.stance(now);
+    let before = life(node, now);
     let counts = decide(node, &[], |agent, _, out| match call {
         Call::Heartbeat(beat) => {
             let outcome = agent.heartbeat(beat, now, out);
@@ -114,12 +114,31 @@
             true
         }
     });
-    let after = node.stance(now);
+    report_change(node, before, now);
+    counts.unwrap_or(false)
+}
+
+/// Stance of the agent, and whether a backend server is beside it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Life {
+    stance: Stance,
+    vacant: bool,
+}
+
+fn life(node: &Node, now: Instant) -> Life {
+    Life {
+        stance: node.stance(now),
+        vacant: node.is_vacant(),
+    }
+}
+
+/// Tells all nodes at once that the agent is to be used in another way.
+fn report_change(node: &Node, before: Life, now: Instant) {
+    let after = life(node, now);
     if before != after {
         log::info!(event = "agent.stance", before:? = before, after:? = after; "stance changed");
         node.report_to(|_role| true);
     }
-    counts.unwrap_or(false)
 }
 
 async fn receive(node: Rc<Node>) -> io::Result<()> {
@@ -273,6 +292,7 @@
 
 fn take_check(node: &Rc<Node>, answer: Option<io::Result<()>>) {
     let now = Instant::now();
+    let before = life(node, now);
     decide(node, &[], |agent, _, out| match answer {
         Some(Ok(())) => agent.backend.accepted(now),
         Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -283,4 +303,5 @@
         // No answer in time, or another error: it may be slow, and says so by its heartbeats.
         Some(Err(_)) | None => {}
     });
+    report_change(node, before, now);
 }
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Whether this is an agent without a backend server.
+    pub(super) fn is_vacant(&self) -> bool {
+        match &*self.state.borrow() {
+            State::Balancer(_) => false,
+            State::Agent(agent) => agent.backend.is_absent(),
+        }
+    }
+
     /// What this node tells the others of itself.
     pub(super) fn report(&self, greeting: bool) -> Report {
         let now = Instant::now();
@@ -175,6 +183,7 @@
             stance: self.stance(now),
             load,
             version: self.routes().version,
+            vacant: self.is_vacant(),
             greeting,
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -428,7 +428,7 @@
     /// Whether the backend server takes new flows. One that has not been heard since this process started may.
     fn may_take(&self, now: Instant) -> bool {
         let phase = self.backend.phase(now);
-        let unheard = !self.backend.is_heard() && phase == Phase::Down;
+        let unheard = !self.backend.is_heard() && phase == Phase::Down && !self.backend.is_absent();
         !self.stopping && (phase == Phase::Ready || unheard)
     }
 
@@ -492,7 +492,7 @@
     /// Asks all siblings. Ends at once if there is nobody to ask.
     fn search(&mut self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_client();
-        let mut asked: BTreeSet<_> = members.agents(&self.service).map(|member| member.ip).collect();
+        let mut asked: BTreeSet<_> = members.holders(&self.service).map(|member| member.ip).collect();
         let probes_own = self.needs_probe();
         if probes_own {
             asked.insert(self.ip);
@@ -525,7 +525,7 @@
             return;
         }
         let lost: Vec<_> = members
-            .agents(&self.service)
+            .holders(&self.service)
             .filter(|member| member.is_lost(now))
             .collect();
         for member in lost {
@@ -542,7 +542,7 @@
     /// Whether only the backend server can tell if it holds a flow that is not in the table.
     fn needs_probe(&self) -> bool {
         let ended = self.backend.is_heard() && self.backend.is_down();
-        !self.complete && !ended
+        !self.complete && !ended && !self.backend.is_absent()
     }
 
     /// Hands the packet at hand to the backend server. One probe answers all that ask meanwhile.
@@ -727,7 +727,7 @@
         let changed = members.generation() != self.pointed_generation;
         self.pointed_generation = members.generation();
         let mut notes: HashMap<Ipv4Addr, Vec<Flow>> = HashMap::new();
-        let siblings: Vec<_> = members.agents(&self.service).map(|member| member.ip).collect();
+        let siblings: Vec<_> = members.holders(&self.service).map(|member| member.ip).collect();
         for (flow, entry) in self.table.iter_mut() {
             let refresh = now >= entry.point_at;
             let lasting = entry.stage == Stage::Open && now >= entry.opened_at + POINT_AFTER;
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -213,6 +213,11 @@
         self.phase == Phase::Down
     }
 
+    /// Whether no backend server is there: it has ended, or its address has refused connections since the agent's start.
+    pub fn is_absent(&self) -> bool {
+        self.phase == Phase::Down && self.refused_until.is_some()
+    }
+
     /// Whether a heartbeat has been taken.
     pub fn is_heard(&self) -> bool {
         self.lifetime.is_some()
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -60,6 +60,8 @@
     pub load: Load,
     /// Version of the configuration that the node routes by.
     pub version: u64,
+    /// Whether no backend server is beside an agent, so that it holds no flow.
+    pub vacant: bool,
     /// Whether the sender has not heard the receiver yet and asks for a report in return.
     pub greeting: bool,
 }
@@ -71,7 +73,7 @@
     }
 }
 
-type ReportFields = (Role, u64, u64, Bytes, Bytes, Stance, Load, u64, bool);
+type ReportFields = (Role, u64, u64, Bytes, Bytes, Stance, Load, u64, bool, bool);
 
 impl From<Report> for ReportFields {
     fn from(report: Report) -> Self {
@@ -84,6 +86,7 @@
             report.stance,
             report.load,
             report.version,
+            report.vacant,
             report.greeting,
         )
     }
@@ -100,7 +103,8 @@
             stance: fields.5,
             load: fields.6,
             version: fields.7,
-            greeting: fields.8,
+            vacant: fields.8,
+            greeting: fields.9,
         }
     }
 }
@@ -362,6 +366,12 @@
         self.iter().filter(move |member| member.is_agent(service))
     }
 
+    /// Agents of a service that may hold flows. Those without a backend server do not, and may be gone at any moment.
+    pub fn holders<'a>(&'a self, service: &'a Bytes) -> impl Iterator<Item = &'a Member> {
+        self.agents(service)
+            .filter(|member| member.report.stance != Stance::Leaving && !member.report.vacant)
+    }
+
     /// Grows with each change of the nodes or their stances.
     pub fn generation(&self) -> u64 {
         self.generation
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -115,6 +115,7 @@
             failed_percent: 100,
         },
         version: u64::from(u32::MAX),
+        vacant: true,
         greeting: true,
     }
 }
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -143,6 +143,7 @@
             ..Load::default()
         },
         version: 1,
+        vacant: false,
         greeting: false,
     }
 }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -625,3 +625,54 @@
     agent.bounced(&data(1, 501), &siblings, now + 20 * MS, &mut out);
     assert_eq!(out, []);
 }
+
+/// kalo-workshop-grown trouble-1 from 36 s on: one agent a second left with its backend server, and each search waited for
+/// one that had just gone. Clients of lost flows hung until their deadline.
+#[test]
+fn agents_that_leave_are_not_asked() {
+    let now = Instant::now();
+    let mut siblings = members(&[B, C], Stance::Open, now);
+    siblings.report(C, agent_report(2, 2, Stance::Leaving), now);
+    let mut agent = started(A, now);
+    agent.announced();
+    let mut out = Vec::new();
+    agent.packet(&data(1, 501), via(BALANCER), &siblings, now, &mut out);
+    agent.note(B, Note::Deny(flow(1)), now, &mut out);
+    assert_eq!(resets(&out), 1);
+    // Nor do they get packets whose owner must be found.
+    for port in 0..50 {
+        let decision = balancer().packet(&data(port, 501), &mut siblings, now);
+        assert!(matches!(decision, Decision::Forward { to: B, .. }), "{decision:?}");
+    }
+}
+
+/// kalo-workshop-grown trouble-1 at 35.5 s: VMs whose backend servers had been taken away came back with the power. Their
+/// agents handed probes to a closed port and answered no search, until the VMs were removed without a word.
+#[test]
+fn agents_without_a_backend_server_are_not_waited_for() {
+    let now = Instant::now();
+    let mut vacant = agent(A, now);
+    let mut out = Vec::new();
+    vacant.refused(now, &mut out);
+    // It takes no flow before it has told the others that its backend server is there.
+    vacant.packet(&syn(2, 1), via(BALANCER), &Members::default(), now, &mut out);
+    assert!(!out.contains(&Effect::Deliver), "{out:?}");
+    out.clear();
+    vacant.asked(&data(1, 501), via(B), now, &mut out);
+    let deny = Effect::Tell {
+        to: B,
+        note: Note::Deny(flow(1)),
+    };
+    assert_eq!(out, [deny]);
+
+    let mut siblings = members(&[B, C], Stance::Joining, now);
+    let mut report = agent_report(2, 2, Stance::Joining);
+    report.vacant = true;
+    siblings.report(C, report, now);
+    let mut searching = started(A, now);
+    searching.announced();
+    out.clear();
+    searching.packet(&data(1, 501), via(BALANCER), &siblings, now, &mut out);
+    searching.note(B, Note::Deny(flow(1)), now, &mut out);
+    assert_eq!(resets(&out), 1);
+}
