--- a/crates/dogwoodpitch/tests/kv.rs
+++ b/crates/dogwoodpitch/tests/kv.rs
@@ -22,7 +22,7 @@
     let call = calls.get();
     Box::pin(async move {
         if call < answers_from {
-            time::sleep_until(Instant::now() + Duration::from_secs(600)).await;
+            time::sleep_until(Instant::now() + Duration::from_mins(10)).await;
         }
         Ok(call)
     })
@@ -33,7 +33,7 @@
 #[test]
 fn a_read_is_tried_again_while_the_first_one_is_pending() {
     let calls = Rc::new(Cell::new(0));
-    let deadline = Instant::now() + Duration::from_secs(60);
+    let deadline = Instant::now() + Duration::from_mins(1);
     let read = kv::read_hedged(|| silent_store(3, &calls), INTERVAL, deadline);
     assert_eq!(runtime::open().unwrap().block_on(read).unwrap(), 3);
 }
