Join the log lines of a flow with `dogwoodpitchctl explain`

Cause: to follow a failed request the on-call engineer put the lines of all nodes together by hand, and a port that is the beginning of another one matched as well.

Change: `explain CLIENT FILE...` reads the files of many processes, keeps the lines that name the client and prints them in the order of time.

The test fails without the command.

--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -1,6 +1,7 @@
 //! Operators' command line of dogwoodpitch.
 
 mod command;
+mod explain;
 mod fleet;
 
 use std::{ffi::OsString, net::SocketAddr, process::ExitCode, str::FromStr};
@@ -31,6 +32,8 @@
   status                                 asks all announced nodes for their state
   wait --revision N [--timeout-s S]      waits until all reachable nodes use revision N or a later one (default 30 s);
                                          a node that does not answer twice in a row counts as unreachable and is listed
+  explain CLIENT FILE...                 joins the lines of log files that name a client's IP:PORT, in the order of time;
+                                         needs no store
 
 Options:
   --store URL            address of the store, as http://IP:PORT or IP:PORT; several are separated by commas
@@ -154,8 +157,7 @@
 }
 
 fn start(mut args: Arguments) -> Result<Output, Error> {
-    let store =
-        option(&mut args, "--store", stores)?.ok_or_else(|| Error::usage("--store URL is missing; see --help"))?;
+    let store = option(&mut args, "--store", stores)?;
     let expect = option(&mut args, "--expect-revision", number)?;
     let address = option(&mut args, "--address", command::address)?;
     let revision = option(&mut args, "--revision", number)?;
@@ -168,6 +170,12 @@
     if (revision.is_some() || timeout_s.is_some()) && words.first() != Some(&"wait") {
         return Err(Error::usage("--revision and --timeout-s belong to `wait`"));
     }
+    if let ["explain", id, ref files @ ..] = words[..]
+        && !files.is_empty()
+    {
+        return explain::explain(id, files);
+    }
+    let store = store.ok_or_else(|| Error::usage("--store URL is missing; see --help"))?;
     let writes = matches!(
         words[..],
         ["service", "apply" | "delete", ..] | ["label" | "selector", "set", ..]
--- a/crates/dogwoodpitchctl/tests/cli.rs
+++ b/crates/dogwoodpitchctl/tests/cli.rs
@@ -278,3 +278,37 @@
         .map(|agent| agent["state"].as_str().unwrap());
     assert_eq!(shown.collect::<Vec<_>>(), ["unreachable", "draining", "serving"]);
 }
+
+/// On-call engineers have only the logs: the lines of one flow come from several processes, whose files are in no order.
+#[test]
+fn explain_joins_the_lines_of_a_flow() {
+    let folder = tempfile::tempdir().unwrap();
+    let write = |name: &str, lines: &[&str]| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, lines.join("\n")).unwrap();
+        path.into_os_string().into_string().unwrap()
+    };
+    let agent = write(
+        "agent.log",
+        &[
+            r#"{"time":12.5,"node":"agent-1","event":"flow.decided","client":"100.64.0.7:1044","decision":"reset"}"#,
+            r#"{"time":11.0,"node":"agent-1","event":"flow.decided","client":"100.64.0.7:10441","decision":"reset"}"#,
+            "a line of another program",
+        ],
+    );
+    let balancer = write(
+        "balancer.log",
+        &[r#"  35.1 front {"time":12.25,"node":"balancer-1","event":"flow.forwarded","client":"100.64.0.7:1044"}"#],
+    );
+    let output = Command::new(env!("CARGO_BIN_EXE_dogwoodpitchctl"))
+        .args(["explain", "100.64.0.7:1044", &agent, &balancer])
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].starts_with("12.250 balancer-1 flow.forwarded"), "{text}");
+    assert!(lines[1].starts_with("12.500 agent-1 flow.decided"), "{text}");
+    assert!(lines[1].contains("decision=\"reset\""), "{text}");
+}
