Give reports a module of their own

The linter also refused a line of the new command.

Change: `report` has the messages, `member` the nodes. No behaviour changes.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -22,7 +22,8 @@
         steering::{
             agent::{Agent, Effect, Via},
             backend::{Outcome, Phase},
-            member::{Members, Stance},
+            member::Members,
+            report::Stance,
             segment::{Flags, Flow},
         },
     },
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -18,7 +18,7 @@
         store::Error,
     },
     protocol::store::NODE,
-    state::steering::member::{Report, Stance},
+    state::steering::report::{Report, Stance},
     transport::time,
 };
 
--- a/crates/dogwoodpitch/src/protocol/steer.rs
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -9,7 +9,7 @@
 
 use crate::state::steering::{
     agent::Note,
-    member::Report,
+    report::Report,
     segment::{Flow, Segment},
 };
 
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -13,9 +13,10 @@
 use crate::state::steering::{
     admission::{Opening, Queue, Work},
     backend::{Backend, Heartbeat, Outcome, Phase},
-    member::{Load, Members, Stance},
+    member::Members,
     placement::{self, Candidate},
     rank,
+    report::{Load, Stance},
     route::{Retry, Table as Routes},
     search::{Progress, Searches},
     segment::{Flags, Flow, Segment},
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -13,6 +13,7 @@
 pub mod member;
 pub mod placement;
 pub mod rank;
+pub mod report;
 pub mod route;
 pub mod search;
 pub mod segment;
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -8,11 +8,7 @@
 
 use bytes::Bytes;
 
-use crate::state::steering::{
-    member::{Load, Member},
-    rank,
-    segment::Flow,
-};
+use crate::state::steering::{member::Member, rank, report::Load, segment::Flow};
 
 /// Work of an open flow that is idle now, in slots. A client of the sites' feeds sends about one request of 50 ms a second.
 const IDLE_FLOW_WORK: f64 = 0.05;
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -12,7 +12,7 @@
     state::{
         roster::Role,
         service::Id,
-        steering::member::{Load, Report, Stance},
+        steering::report::{Load, Report, Stance},
     },
     transport::udp::MAX_DATAGRAM,
 };
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -13,7 +13,8 @@
     steering::{
         agent::{Agent, Identity, Via},
         backend::Heartbeat,
-        member::{Load, Members, Report, Stance},
+        member::Members,
+        report::{Load, Report, Stance},
         route::{Retry, Route, Share, Table},
         segment::{Flags, Flow, Segment},
     },
--- a/crates/dogwoodpitch/tests/steering/fuzz.rs
+++ b/crates/dogwoodpitch/tests/steering/fuzz.rs
@@ -10,7 +10,8 @@
 use dogwoodpitch::state::steering::{
     agent::{Agent, Effect, Note, Via},
     balancer::{Balancer, Decision},
-    member::{Change, Members, Report, Stance},
+    member::{Change, Members},
+    report::{Report, Stance},
     segment::{Flags, Flow, Segment},
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
--- a/crates/dogwoodpitch/tests/steering/load.rs
+++ b/crates/dogwoodpitch/tests/steering/load.rs
@@ -6,9 +6,9 @@
 };
 
 use dogwoodpitch::state::steering::{
-    member::Load,
     placement::{self, Candidate},
     rank,
+    report::Load,
     segment::Flow,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -16,8 +16,9 @@
     backend::Phase,
     balancer::{Balancer, Decision},
     contact::{self, Contact},
-    member::{Members, Stance},
+    member::Members,
     rank,
+    report::Stance,
     segment::Flags,
 };
 
--- a/crates/dogwoodpitchctl/src/explain.rs
+++ b/crates/dogwoodpitchctl/src/explain.rs
@@ -54,11 +54,12 @@
 
 fn print(line: &Line) -> String {
     let word = |name: &str| line.fields.get(name).and_then(Value::as_str).unwrap_or("-");
-    let mut text = format!("{:.3} {} {}", line.time, word("node"), word("event"));
-    for (name, value) in &line.fields {
-        if !COMMON.contains(&name.as_str()) {
-            text += &format!(" {name}={value}");
-        }
-    }
-    text + "\n"
+    let mut words = vec![
+        format!("{:.3}", line.time),
+        word("node").to_owned(),
+        word("event").to_owned(),
+    ];
+    let details = line.fields.iter().filter(|(name, _)| !COMMON.contains(&name.as_str()));
+    words.extend(details.map(|(name, value)| format!("{name}={value}")));
+    words.join(" ") + "\n"
 }
