--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -15,6 +15,8 @@
     backend::{Backend, Heartbeat, Outcome, Phase},
     member::Members,
     placement::{self, Candidate},
+    pointer::{self, Pointers},
+    probe::Probes,
     rank,
     report::{Load, Stance},
     route::{Retry, Table as Routes},
@@ -37,14 +39,6 @@
 const JOIN_UNANNOUNCED: Duration = Duration::from_secs(3);
 /// Flows in one note; it must fit into a datagram.
 const NOTE_FLOWS: usize = 80;
-/// Pointers to flows of siblings.
-const MAX_POINTERS: usize = 32_768;
-/// Time after which the owner of an open flow sends its pointers again.
-const POINTER_REFRESH: Duration = Duration::from_secs(30);
-/// How long a pointer is kept without a refresh; two may be lost.
-const POINTER_KEEP: Duration = Duration::from_secs(75);
-/// How long a packet that was handed to the backend server as a probe may stay without an answer.
-const PROBE: Duration = Duration::from_millis(500);
 
 /// How a packet came to this agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -198,28 +192,14 @@
     pub table: Table,
     /// Routes in force.
     pub routes: Rc<Routes>,
-    pointers: HashMap<Flow, Pointer>,
+    pointers: Pointers,
     searches: Searches,
     queue: Queue,
-    probes: HashMap<Flow, Probe>,
+    probes: Probes,
     full_until: Instant,
     pointed_generation: u64,
 }
 
-/// Where a flow of a sibling is.
-#[derive(Debug, Clone, Copy)]
-struct Pointer {
-    owner: Ipv4Addr,
-    expires_at: Instant,
-}
-
-/// A packet that was handed to the backend server to find out whether it holds the flow.
-#[derive(Debug, Clone)]
-struct Probe {
-    askers: BTreeSet<Ipv4Addr>,
-    expires_at: Instant,
-}
-
 /// Identity of an agent.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -248,10 +228,10 @@
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
             routes: Rc::default(),
-            pointers: HashMap::new(),
+            pointers: Pointers::default(),
             searches: Searches::default(),
             queue: Queue::default(),
-            probes: HashMap::new(),
+            probes: Probes::default(),
             full_until: now,
             pointed_generation: 0,
         }
@@ -476,7 +456,7 @@
             }
             return;
         }
-        let pointed = self.pointers.get(&flow).map(|pointer| pointer.owner);
+        let pointed = self.pointers.owner(flow);
         if let Some(owner) = pointed.filter(|owner| *owner != via.sender && via.hops < MAX_HOPS)
             && members.get(owner).is_some_and(|member| !member.is_lost(now))
         {
@@ -546,19 +526,10 @@
         !self.complete && !ended && !self.backend.is_absent()
     }
 
-    /// Hands the packet at hand to the backend server. One probe answers all that ask meanwhile.
     fn probe(&mut self, flow: Flow, asker: Ipv4Addr, now: Instant, out: &mut Vec<Effect>) {
-        let pending = self.probes.get_mut(&flow).filter(|probe| now < probe.expires_at);
-        if let Some(probe) = pending {
-            probe.askers.insert(asker);
-            return;
+        if self.probes.ask(flow, asker, now) {
+            out.push(Effect::Deliver);
         }
-        let probe = Probe {
-            askers: BTreeSet::from([asker]),
-            expires_at: now + PROBE,
-        };
-        self.probes.insert(flow, probe);
-        out.push(Effect::Deliver);
     }
 
     /// Answers the question of another agent whether this one holds the flow of a packet.
@@ -589,8 +560,8 @@
             self.divert(segment, Origin::of(entry), members, now, out);
             return;
         }
-        if let Some(probe) = self.probes.remove(&flow) {
-            self.deny(flow, &probe, now, out);
+        if let Some(askers) = self.probes.answered(flow) {
+            self.deny(flow, &askers, now, out);
             return;
         }
         match self.table.remove(flow) {
@@ -610,12 +581,12 @@
     /// Takes a packet that the backend server sends to a client.
     pub fn returned(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_backend();
-        let probe = self.probes.remove(&flow);
+        let askers = self.probes.answered(flow);
         if segment.flags.contains(Flags::RST) && self.table.get(flow).is_none() {
             // A backend server that has just started resets flows that it never held; another one may hold this flow.
             log(out, flow, "drop: reset of a flow that is not in the table");
-            if let Some(probe) = probe {
-                self.deny(flow, &probe, now, out);
+            if let Some(askers) = askers {
+                self.deny(flow, &askers, now, out);
             }
             return;
         }
@@ -631,17 +602,17 @@
             client: *flow.client.ip(),
         });
         self.serve_queue(now, out);
-        if let Some(probe) = probe {
+        if let Some(askers) = askers {
             self.searches.claim(flow);
-            for asker in probe.askers.into_iter().filter(|asker| *asker != self.ip) {
+            for asker in askers.into_iter().filter(|asker| *asker != self.ip) {
                 tell(out, asker, Note::Claim(flow));
             }
         }
     }
 
     /// Answers the searches that a probe was for: the backend server does not hold the flow.
-    fn deny(&mut self, flow: Flow, probe: &Probe, now: Instant, out: &mut Vec<Effect>) {
-        for asker in &probe.askers {
+    fn deny(&mut self, flow: Flow, askers: &BTreeSet<Ipv4Addr>, now: Instant, out: &mut Vec<Effect>) {
+        for asker in askers {
             if *asker == self.ip {
                 let progress = self.searches.deny(flow, self.ip, now);
                 reset_if_nobody(flow, &progress, out);
@@ -658,16 +629,14 @@
             Note::WasDraining => self.backend.was_draining(),
             Note::Claim(flow) => {
                 self.searches.claim(flow);
-                self.point(flow, sender, now);
+                self.pointers.set(flow, sender, now);
             }
             Note::Deny(flow) => {
-                if self.pointers.get(&flow).is_some_and(|pointer| pointer.owner == sender) {
-                    self.pointers.remove(&flow);
-                }
+                self.pointers.deny(flow, sender);
                 let progress = self.searches.deny(flow, sender, now);
                 reset_if_nobody(flow, &progress, out);
             }
-            Note::Point(flows) => flows.into_iter().for_each(|flow| self.point(flow, sender, now)),
+            Note::Point(flows) => flows.into_iter().for_each(|flow| self.pointers.set(flow, sender, now)),
             Note::Restore(flows) => {
                 for flow in flows {
                     if !self.complete && self.table.get(flow).is_none() {
@@ -678,13 +647,6 @@
         }
     }
 
-    fn point(&mut self, flow: Flow, owner: Ipv4Addr, now: Instant) {
-        if self.pointers.len() < MAX_POINTERS || self.pointers.contains_key(&flow) {
-            let expires_at = now + POINTER_KEEP;
-            self.pointers.insert(flow, Pointer { owner, expires_at });
-        }
-    }
-
     /// Another process runs on the VM of a sibling: it has lost its pointers, and its table.
     pub fn sibling_started(&mut self, sibling: Ipv4Addr, out: &mut Vec<Effect>) {
         for (_, entry) in self.table.iter_mut() {
@@ -695,20 +657,14 @@
                 }
             }
         }
-        let owned: Vec<_> = self
-            .pointers
-            .iter()
-            .filter(|(_, pointer)| pointer.owner == sibling)
-            .map(|(flow, _)| *flow)
-            .collect();
-        for flows in owned.chunks(NOTE_FLOWS) {
+        for flows in self.pointers.flows_of(sibling).chunks(NOTE_FLOWS) {
             tell(out, sibling, Note::Restore(flows.to_vec()));
         }
     }
 
     /// Nodes have gone for good.
     pub fn forget(&mut self, gone: &BTreeSet<Ipv4Addr>) {
-        self.pointers.retain(|_, pointer| !gone.contains(&pointer.owner));
+        self.pointers.forget(gone);
     }
 
     /// Does what time brings: pointers to new flows, ends of old ones.
@@ -718,8 +674,8 @@
         }
         self.table.expire(now);
         self.searches.expire(now);
-        self.probes.retain(|_, probe| now < probe.expires_at);
-        self.pointers.retain(|_, pointer| now < pointer.expires_at);
+        self.probes.expire(now);
+        self.pointers.expire(now);
         self.serve_queue(now, out);
         self.place_pointers(members, now, out);
     }
@@ -737,7 +693,7 @@
             }
             if refresh {
                 entry.homes = [None; rank::HOMES];
-                entry.point_at = now + POINTER_REFRESH;
+                entry.point_at = now + pointer::REFRESH;
             }
             let homes = rank::homes(flow, siblings.iter().copied().chain([self.ip]));
             let new = homes
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -12,6 +12,8 @@
 pub mod contact;
 pub mod member;
 pub mod placement;
+pub mod pointer;
+pub mod probe;
 pub mod rank;
 pub mod report;
 pub mod route;
