Forget waiting SYNs whose copies come to the same agent

Cause: found on reading the change. Each packet of a backend server also counted all flows, although no SYN waited.

Change: an offer is taken, waiting or refused; the agent forgets a waiting SYN before it offers its copy, and looks at the queue only if a SYN waits.

--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -86,6 +86,17 @@
     }
 }
 
+/// What becomes of a SYN.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offer {
+    /// The backend server has room for it.
+    Taken,
+    /// It waits for room.
+    Waiting,
+    /// Too many wait already.
+    Refused,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     opening: Opening,
@@ -99,17 +110,22 @@
 }
 
 impl Queue {
-    /// Takes a SYN. True if the backend server has room for it at once; otherwise it waits.
-    pub fn offer(&mut self, opening: Opening, work: Work, now: Instant) -> bool {
-        self.waiting.retain(|entry| entry.opening.flow != opening.flow);
+    /// Takes a SYN of a flow that does not wait.
+    pub fn offer(&mut self, opening: Opening, work: Work, now: Instant) -> Offer {
         if opening.has_room(work) {
-            return true;
+            return Offer::Taken;
         }
-        if self.waiting.len() < MAX_WAITING {
-            let expires_at = now + opening.max_wait();
-            self.waiting.push(Entry { opening, expires_at });
+        if self.waiting.len() >= MAX_WAITING {
+            return Offer::Refused;
         }
-        false
+        let expires_at = now + opening.max_wait();
+        self.waiting.push(Entry { opening, expires_at });
+        Offer::Waiting
+    }
+
+    /// Removes the SYN of a flow. Returns whether it waited.
+    pub fn forget(&mut self, flow: Flow) -> bool {
+        !self.remove(|entry| entry.opening.flow == flow).is_empty()
     }
 
     /// Next SYN for which there is room: urgent ones first, then those whose request can still meet its goal, then the
@@ -137,6 +153,11 @@
         removed.map(|entry| entry.opening.flow).collect()
     }
 
+    /// Whether no SYN waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Number of SYNs that wait.
     pub fn waiting(&self) -> u32 {
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::steering::{
-    admission::{Opening, Queue, Work},
+    admission::{Offer, Opening, Queue, Work},
     backend::{Backend, Heartbeat, Outcome, Phase},
     member::Members,
     placement::{self, Candidate},
@@ -341,10 +341,22 @@
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.stage != Stage::Ended);
         let takes = self.may_take(now) && now >= self.full_until;
-        if takes && !known && !self.has_room(segment, via, now) {
-            log(out, flow, "wait: backend server is loaded");
-            out.push(Effect::Hold { flow });
-            return;
+        if self.queue.forget(flow) {
+            out.push(Effect::Discard { flow });
+        }
+        if takes && !known {
+            match self.offer(segment, via, now) {
+                Offer::Taken => {}
+                Offer::Waiting => {
+                    log(out, flow, "wait: backend server is loaded");
+                    out.push(Effect::Hold { flow });
+                    return;
+                }
+                Offer::Refused => {
+                    log(out, flow, "drop: too many flows wait for the backend server");
+                    return;
+                }
+            }
         }
         let balancer = Some(via.balancer);
         let accepted = known || (takes && self.table.insert(flow, Stage::Opening, via.hops, balancer, now));
@@ -359,11 +371,11 @@
         }
     }
 
-    /// Whether the backend server has room for a new flow. Otherwise its SYN waits.
-    fn has_room(&mut self, segment: &Segment, via: Via, now: Instant) -> bool {
+    /// Offers a new flow to the backend server.
+    fn offer(&mut self, segment: &Segment, via: Via, now: Instant) -> Offer {
         let flow = segment.from_client();
         let Some(route) = self.routes.get(flow.service) else {
-            return true;
+            return Offer::Taken;
         };
         let opening = Opening {
             flow,
@@ -386,6 +398,9 @@
 
     /// Hands over the SYNs for which there is room now, and gives up those that have waited for too long.
     fn serve_queue(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if self.queue.is_empty() {
+            return;
+        }
         let open = self.may_take(now);
         let removed = if open {
             self.queue.expire(now)
--- a/crates/dogwoodpitch/tests/steering/admission.rs
+++ b/crates/dogwoodpitch/tests/steering/admission.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use dogwoodpitch::state::steering::admission::{Opening, Queue, Work};
+use dogwoodpitch::state::steering::admission::{Offer, Opening, Queue, Work};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::build::{BALANCER, flow};
@@ -107,7 +107,7 @@
             balancer: BALANCER,
             hops: 0,
         };
-        let taken = policy == Policy::HandOverAll || self.queue.offer(opening, self.work(), at);
+        let taken = policy == Policy::HandOverAll || self.queue.offer(opening, self.work(), at) == Offer::Taken;
         self.requests[index].stage = if taken {
             Stage::Arriving { at: now + HANDSHAKE_MS }
         } else {
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -6,7 +6,7 @@
 mod load;
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeSet, VecDeque},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -677,3 +677,42 @@
     searching.note(B, Note::Deny(flow(1)), now, &mut out);
     assert_eq!(resets(&out), 1);
 }
+
+/// Each SYN that is kept is handed over or forgotten, also when its copy comes to the same agent, or when more come than can
+/// wait: kept ones would take memory for ever.
+#[test]
+fn no_waiting_syn_is_left_behind() {
+    let now = Instant::now();
+    let mut agent = started(A, now);
+    let mut out = Vec::new();
+    for port in 0..21 {
+        agent.returned(&from_backend(port, 500), now, &mut out);
+        agent.packet(&data(port, 501), via(BALANCER), &Members::default(), now, &mut out);
+    }
+    out.clear();
+    for port in 100..500 {
+        agent.packet(&syn(port, 0), via(BALANCER), &Members::default(), now, &mut out);
+    }
+    for port in 0..5 {
+        let mut answer = from_backend(port, 501);
+        answer.data_len = 1_000;
+        agent.returned(&answer, now + 50 * MS, &mut out);
+    }
+    agent.packet(
+        &syn(120, 1),
+        via(BALANCER),
+        &Members::default(),
+        now + 60 * MS,
+        &mut out,
+    );
+    agent.tick(&Members::default(), now + 2_000 * MS, &mut out);
+    let mut kept = BTreeSet::new();
+    for effect in &out {
+        match effect {
+            Effect::Hold { flow } => assert!(kept.insert(*flow), "{flow:?}"),
+            Effect::Release { flow } | Effect::Discard { flow } => assert!(kept.remove(flow), "{flow:?}"),
+            _ => {}
+        }
+    }
+    assert!(kept.is_empty(), "{} left", kept.len());
+}
