Believe only the fresh word of an agent that it holds no flow

An announcement in the store is written when a process starts, before its backend server is heard, and says that there is none; a node that had just read the list took that for a denial. A sibling that has been silent may have a backend server by now as well.

Change: only an agent that was heard itself, and lately, counts as holding nothing. A change is told twice, as changes of the stance are.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -77,7 +77,8 @@
     pub(super) unanswered_since: Cell<Option<Instant>>,
     incarnation: u64,
     reports: Cell<u64>,
-    last_stance: Cell<Stance>,
+    /// Stance and vacancy in the last report of a tick.
+    last_life: Cell<(Stance, bool)>,
 }
 
 /// Runs a node until it is asked to stop.
@@ -135,7 +136,7 @@
             unanswered_since: Cell::new(None),
             incarnation: rand::random(),
             reports: Cell::new(0),
-            last_stance: Cell::new(Stance::Joining),
+            last_life: Cell::new((Stance::Joining, false)),
             settings,
             platform,
         }))
@@ -409,8 +410,9 @@
     {
         balancer.expire(now);
     }
-    let stance = node.stance(now);
-    let changed = node.last_stance.replace(stance) != stance;
+    let life = (node.stance(now), node.is_vacant());
+    // A change was reported at once; this repeats it in case that report was lost.
+    let changed = node.last_life.replace(life) != life;
     if changed || count.is_multiple_of(REPORT_TICKS) {
         node.report_to(|_role| true);
     } else if node.settings.role() == Role::Agent && count.is_multiple_of(LOAD_TICKS) {
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -488,7 +488,7 @@
     /// Asks all siblings. Ends at once if there is nobody to ask.
     fn search(&mut self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.from_client();
-        let mut asked: BTreeSet<_> = members.holders(&self.service).map(|member| member.ip).collect();
+        let mut asked: BTreeSet<_> = members.holders(&self.service, now).map(|member| member.ip).collect();
         let probes_own = self.needs_probe();
         if probes_own {
             asked.insert(self.ip);
@@ -521,7 +521,7 @@
             return;
         }
         let lost: Vec<_> = members
-            .holders(&self.service)
+            .holders(&self.service, now)
             .filter(|member| member.is_lost(now))
             .collect();
         for member in lost {
@@ -699,7 +699,7 @@
         let changed = members.generation() != self.pointed_generation;
         self.pointed_generation = members.generation();
         let mut notes: HashMap<Ipv4Addr, Vec<Flow>> = HashMap::new();
-        let siblings: Vec<_> = members.holders(&self.service).map(|member| member.ip).collect();
+        let siblings: Vec<_> = members.holders(&self.service, now).map(|member| member.ip).collect();
         for (flow, entry) in self.table.iter_mut() {
             let refresh = now >= entry.point_at;
             let lasting = entry.stage == Stage::Open && now >= entry.opened_at + POINT_AFTER;
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -196,7 +196,7 @@
 
 /// Agent that finds the owner of a flow. One that has just started does not know all others yet.
 fn home(flow: Flow, service: &Bytes, members: &Members, now: Instant) -> Option<Ipv4Addr> {
-    let fresh = || members.holders(service).filter(|member| member.is_fresh(now));
+    let fresh = || members.holders(service, now).filter(|member| member.is_fresh(now));
     let settled = fresh().filter(|member| !member.is_joining(service, now));
     let [home, _] = rank::homes(flow, settled.map(|member| member.ip));
     home.or_else(|| rank::homes(flow, fresh().map(|member| member.ip))[0])
@@ -238,7 +238,10 @@
 
 #[expect(clippy::cast_precision_loss, reason = "agents of a service are few")]
 fn has_quorum(members: &Members, service: &Bytes, now: Instant) -> bool {
-    let known = members.holders(service).count();
-    let fresh = members.holders(service).filter(|member| member.is_fresh(now)).count();
+    let known = members.holders(service, now).count();
+    let fresh = members
+        .holders(service, now)
+        .filter(|member| member.is_fresh(now))
+        .count();
     fresh as f64 >= known as f64 * QUORUM
 }
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -128,6 +128,13 @@
         self.is_agent(service) && (!self.heard || self.report.stance == Stance::Joining || self.is_restarting(now))
     }
 
+    /// Whether an agent holds no flow. What the store or others tell of it may be out of date, and so is its own word once
+    /// it is silent.
+    fn holds_nothing(&self, now: Instant) -> bool {
+        let vacant = self.report.stance == Stance::Leaving || (self.report.vacant && self.is_fresh(now));
+        self.heard && vacant
+    }
+
     /// Whether the node is an agent of a service.
     pub fn is_agent(&self, service: &Bytes) -> bool {
         self.report.role == Role::Agent && self.report.service == *service
@@ -237,10 +244,10 @@
         self.iter().filter(move |member| member.is_agent(service))
     }
 
-    /// Agents of a service that may hold flows. Those without a backend server do not, and may be gone at any moment.
-    pub fn holders<'a>(&'a self, service: &'a Bytes) -> impl Iterator<Item = &'a Member> {
-        self.agents(service)
-            .filter(|member| member.report.stance != Stance::Leaving && !member.report.vacant)
+    /// Agents of a service that may hold flows. Those that said lately that they have no backend server do not, and may be
+    /// gone at any moment.
+    pub fn holders<'a>(&'a self, service: &'a Bytes, now: Instant) -> impl Iterator<Item = &'a Member> {
+        self.agents(service).filter(move |member| !member.holds_nothing(now))
     }
 
     /// Grows with each change of the nodes or their stances.
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -678,6 +678,32 @@
     assert_eq!(resets(&out), 1);
 }
 
+/// Soak, seed 3: an agent that had just started knew a sibling from the store only, whose announcement was written before its
+/// backend server came up, did not ask it, and reset a flow that it held. The same may happen when a sibling has not been
+/// heard for a while.
+#[test]
+fn only_a_fresh_word_of_an_agent_tells_that_it_holds_nothing() {
+    let now = Instant::now();
+    let mut vacant = agent_report(2, 1, Stance::Joining);
+    vacant.vacant = true;
+    let mut listed = members(&[B], Stance::Open, now);
+    listed.list([(C, vacant.clone())], now);
+    let mut silent = members(&[B], Stance::Open, now);
+    silent.report(C, vacant, now);
+    for (siblings, later) in [(listed, now), (silent, now + 1_000 * MS)] {
+        let mut agent = started(A, now);
+        agent.announced();
+        let mut out = Vec::new();
+        agent.packet(&data(1, 501), via(BALANCER), &siblings, later, &mut out);
+        assert!(
+            out.iter().any(|effect| matches!(effect, Effect::Ask { to: C, .. })),
+            "{out:?}"
+        );
+        agent.note(B, Note::Deny(flow(1)), later, &mut out);
+        assert_eq!(resets(&out), 0);
+    }
+}
+
 /// Each SYN that is kept is handed over or forgotten, also when its copy comes to the same agent, or when more come than can
 /// wait: kept ones would take memory for ever.
 #[test]
