Keep an agent's stance and vacancy in one type

Cause: the same pair stood twice, as a struct in agent.rs and as a tuple in node.rs; the fuzzer built the same frame in two arms.

Change: `Life` with `Node::life` serves both, and `World::carry` both arms. No behaviour is meant to change; the checks of the tests stay.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -13,7 +13,7 @@
 use crate::{
     coordination::steering::{
         Backend, Call,
-        node::{Node, State, reject},
+        node::{Life, Node, State, reject},
         spawn_vital,
     },
     protocol::steer::{Header, Kind, Message},
@@ -97,7 +97,7 @@
 /// Takes a call of the backend server. Returns whether it counts.
 fn take_call(node: &Rc<Node>, call: &Call) -> bool {
     let now = Instant::now();
-    let before = life(node, now);
+    let before = node.life(now);
     let counts = decide(node, &[], |agent, _, out| match call {
         Call::Heartbeat(beat) => {
             let outcome = agent.heartbeat(beat, now, out);
@@ -119,23 +119,9 @@
     counts.unwrap_or(false)
 }
 
-/// Stance of the agent, and whether a backend server is beside it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Life {
-    stance: Stance,
-    vacant: bool,
-}
-
-fn life(node: &Node, now: Instant) -> Life {
-    Life {
-        stance: node.stance(now),
-        vacant: node.is_vacant(),
-    }
-}
-
 /// Tells all nodes at once that the agent is to be used in another way.
 fn report_change(node: &Node, before: Life, now: Instant) {
-    let after = life(node, now);
+    let after = node.life(now);
     if before != after {
         log::info!(event = "agent.stance", before:? = before, after:? = after; "stance changed");
         node.report_to(|_role| true);
@@ -293,7 +279,7 @@
 
 fn take_check(node: &Rc<Node>, answer: Option<io::Result<()>>) {
     let now = Instant::now();
-    let before = life(node, now);
+    let before = node.life(now);
     decide(node, &[], |agent, _, out| match answer {
         Some(Ok(())) => agent.backend.accepted(now),
         Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -55,6 +55,15 @@
     Agent(Box<Agent>),
 }
 
+/// What the others must hear of at once when it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Life {
+    /// What the node wants to be used for.
+    pub(super) stance: Stance,
+    /// Whether it is an agent without a backend server.
+    pub(super) vacant: bool,
+}
+
 /// A running node.
 #[derive(Debug)]
 pub(super) struct Node {
@@ -77,8 +86,8 @@
     pub(super) unanswered_since: Cell<Option<Instant>>,
     incarnation: u64,
     reports: Cell<u64>,
-    /// Stance and vacancy in the last report of a tick.
-    last_life: Cell<(Stance, bool)>,
+    /// As the last tick saw it.
+    last_life: Cell<Life>,
 }
 
 /// Runs a node until it is asked to stop.
@@ -136,7 +145,10 @@
             unanswered_since: Cell::new(None),
             incarnation: rand::random(),
             reports: Cell::new(0),
-            last_life: Cell::new((Stance::Joining, false)),
+            last_life: Cell::new(Life {
+                stance: Stance::Joining,
+                vacant: false,
+            }),
             settings,
             platform,
         }))
@@ -155,8 +167,15 @@
         }
     }
 
-    /// Whether this is an agent without a backend server.
-    pub(super) fn is_vacant(&self) -> bool {
+    /// Stance, and whether a backend server is there.
+    pub(super) fn life(&self, now: Instant) -> Life {
+        Life {
+            stance: self.stance(now),
+            vacant: self.is_vacant(),
+        }
+    }
+
+    fn is_vacant(&self) -> bool {
         match &*self.state.borrow() {
             State::Balancer(_) => false,
             State::Agent(agent) => agent.backend.is_absent(),
@@ -410,7 +429,7 @@
     {
         balancer.expire(now);
     }
-    let life = (node.stance(now), node.is_vacant());
+    let life = node.life(now);
     // A change was reported at once; this repeats it in case that report was lost.
     let changed = node.last_life.replace(life) != life;
     if changed || count.is_multiple_of(REPORT_TICKS) {
--- a/crates/dogwoodpitch/tests/steering/fuzz.rs
+++ b/crates/dogwoodpitch/tests/steering/fuzz.rs
@@ -334,40 +334,26 @@
         }
     }
 
+    /// Sends a client's packet from one agent to another.
+    fn carry(&mut self, sender: Ipv4Addr, to: Ipv4Addr, hops: u8, balancer: Ipv4Addr, segment: Segment, ask: bool) {
+        let via = Via {
+            sender,
+            balancer,
+            hops,
+            guessed: true,
+            version: 1,
+        };
+        self.queue.push_back(Frame::Packet { to, via, segment, ask });
+    }
+
     fn execute(&mut self, ip: Ipv4Addr, effects: &[Effect], segment: Option<&Segment>) {
         for effect in effects {
             match (effect, segment) {
                 (Effect::Deliver, Some(segment)) => self.backend(ip, segment),
                 (Effect::Pass { to, hops, balancer }, Some(segment)) => {
-                    let via = Via {
-                        sender: ip,
-                        balancer: *balancer,
-                        hops: *hops,
-                        guessed: true,
-                        version: 1,
-                    };
-                    self.queue.push_back(Frame::Packet {
-                        to: *to,
-                        via,
-                        segment: *segment,
-                        ask: false,
-                    });
-                }
-                (Effect::Ask { to, balancer }, Some(segment)) => {
-                    let via = Via {
-                        sender: ip,
-                        balancer: *balancer,
-                        hops: 0,
-                        guessed: true,
-                        version: 1,
-                    };
-                    self.queue.push_back(Frame::Packet {
-                        to: *to,
-                        via,
-                        segment: *segment,
-                        ask: true,
-                    });
+                    self.carry(ip, *to, *hops, *balancer, *segment, false);
                 }
+                (Effect::Ask { to, balancer }, Some(segment)) => self.carry(ip, *to, 0, *balancer, *segment, true),
                 (Effect::Reset { flow, .. }, _) => self.reset_client(*flow, "agent"),
                 (Effect::Tell { to, note }, _) => {
                     self.queue.push_back(Frame::Note {
