Log the evidence of each reset and which backend server holds a flow

Lines about waiting SYNs also used up the budget of flow.decided, so that resets were missing from the log.

Decision texts and metrics stay. No decision changes.

Two tests compare the whole list of effects, which now has LogOpened in it; they stay as strict.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -13,7 +13,7 @@
 use crate::{
     coordination::steering::{
         Backend, Call,
-        node::{Life, Node, State, reject},
+        node::{Life, Node, State, millis, reject},
         spawn_critical,
     },
     protocol::steer::{Header, Kind, Message},
@@ -22,6 +22,7 @@
         steering::{
             agent::{Agent, Effect, Hop},
             backend::{Outcome, Phase},
+            evidence::Evidence,
             member::Members,
             report::Stance,
             segment::{Flags, Flow},
@@ -202,11 +203,12 @@
             Effect::RecordLatency(time) => {
                 metrics::histogram!("dogwoodpitch_request_seconds").record(time.as_secs_f64());
             }
-            Effect::Reset { flow, seq } => {
-                metrics::counter!("dogwoodpitch_resets_total").increment(1);
+            Effect::Reset { flow, seq, evidence } => {
+                log_reset(flow, evidence);
                 node.send_to_client(*flow.client.ip(), &(node.platform.codec.reset)(*flow, *seq));
             }
             Effect::SendNote { to, note } => node.send_message(*to, &Message::Note(note.clone())),
+            Effect::LogOpened { flow } => log_opened(node, flow),
             Effect::Log { flow, event } => log_decision(node, flow, event),
         }
     }
@@ -226,6 +228,41 @@
     );
 }
 
+fn log_reset(flow: &Flow, evidence: &Evidence) {
+    metrics::counter!("dogwoodpitch_resets_total").increment(1);
+    let decision = evidence.decision();
+    metrics::counter!("dogwoodpitch_flows_decided_total", "decision" => decision).increment(1);
+    let age_ms = |since: Instant| millis(since.elapsed());
+    match evidence {
+        Evidence::BackendEnded(held) | Evidence::Returned(held) => log::info!(
+            event = "flow.reset", client:% = flow.client, service:% = flow.service, decision, state:? = held.state,
+            acknowledged = held.acknowledged, age_ms = age_ms(held.opened_at);
+            "flow of the local backend server reset"
+        ),
+        Evidence::DeniedByAll(denials) => log::info!(
+            event = "flow.reset", client:% = flow.client, service:% = flow.service, decision,
+            queried = denials.queried, silent = denials.silent, age_ms = age_ms(denials.started_at);
+            "flow without an owner reset"
+        ),
+        Evidence::SynRefused | Evidence::DeniedRecently | Evidence::RouteRemoved => log::info!(
+            event = "flow.reset", client:% = flow.client, service:% = flow.service, decision;
+            "flow reset"
+        ),
+    }
+}
+
+fn log_opened(node: &Node, flow: &Flow) {
+    let State::Agent(agent) = &*node.state.borrow() else {
+        return;
+    };
+    let Some(entry) = agent.table.get(*flow) else { return };
+    log::info!(
+        event = "flow.opened", client:% = flow.client, service:% = flow.service, hops = entry.hops,
+        age_ms = millis(entry.opened_at.elapsed());
+        "client opened the flow with the local backend server"
+    );
+}
+
 fn deliver(node: &Node, packet: &[u8]) {
     if let Some(backend) = &node.settings.backend {
         node.packets.send(backend.address, &[], packet);
--- a/crates/dogwoodpitch/src/coordination/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/balancer.rs
@@ -65,6 +65,16 @@
     );
 }
 
+/// Logs that an agent has taken over a flow that was cached for another one.
+pub(super) fn log_owner(flow: &Flow, agent: Ipv4Addr, previous: Option<Ipv4Addr>) {
+    if let Some(previous) = previous.filter(|previous| *previous != agent) {
+        log::info!(
+            event = "flow.owner", client:% = flow.client, service:% = flow.service, agent:% = agent, previous:% = previous;
+            "another agent holds the flow"
+        );
+    }
+}
+
 fn log_refusal(node: &Node, flow: &Flow, outcome: &'static str, reason: &'static str) {
     metrics::counter!("dogwoodpitch_packets_refused_total", "outcome" => outcome, "reason" => reason).increment(1);
     log::info!(
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -339,7 +339,8 @@
         let now = Instant::now();
         if let State::Balancer(balancer) = &mut *self.state.borrow_mut() {
             if let Note::Learn(flow) = note {
-                balancer.learn(flow, from, now);
+                let previous = balancer.learn(flow, from, now);
+                balancer::log_owner(&flow, from, previous);
             }
             return;
         }
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -13,6 +13,7 @@
 use crate::state::steering::{
     admission::{self, Queue, Syn, Work},
     backend::{Backend, Heartbeat, Outcome, Phase},
+    evidence::{Evidence, Holding},
     member::Members,
     placement::{self, Candidate},
     pointer::{self, Pointers},
@@ -22,7 +23,7 @@
     route::{Retry, Table as Routes},
     search::{Progress, Searches},
     segment::{Flags, Flow, Segment},
-    table::{Entry, POINTER_MIN_AGE, State, Table},
+    table::{Entry, Match, POINTER_MIN_AGE, State, Table},
 };
 
 /// Maximum number of times that a packet is forwarded from agent to agent.
@@ -156,6 +157,13 @@
         flow: Flow,
         /// Sequence number that the client accepts.
         seq: u32,
+        /// Evidence for the log.
+        evidence: Evidence,
+    },
+    /// Logs that the client has opened a flow with the local backend server.
+    LogOpened {
+        /// Flow.
+        flow: Flow,
     },
     /// Sends a note to another node.
     SendNote {
@@ -320,11 +328,8 @@
         self.probes.clear();
         for (flow, entry) in self.table.remove_where(predicate) {
             if entry.state == State::Open {
-                log(out, flow, "reset: backend server ended");
-                out.push(Effect::Reset {
-                    flow,
-                    seq: entry.client_ack,
-                });
+                let evidence = Evidence::BackendEnded(Holding::from(&entry));
+                reset(out, flow, entry.client_ack, evidence);
             }
         }
     }
@@ -465,10 +470,7 @@
                 log(out, flow, "drop: agents are starting");
             }
             _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
-            _ => {
-                log(out, flow, "reset: no backend server takes the flow");
-                out.push(Effect::Reset { flow, seq: 0 });
-            }
+            _ => reset(out, flow, 0, Evidence::SynRefused),
         }
     }
 
@@ -491,8 +493,7 @@
         out: &mut Vec<Effect>,
     ) {
         let flow = segment.flow_from_client();
-        if self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
-            out.push(Effect::Deliver);
+        if self.accept_established(flow, segment, hop, now, out) {
             if hop.guessed || hop.hops > 0 {
                 send_note(out, hop.balancer, Note::Learn(flow));
             }
@@ -506,12 +507,30 @@
             return;
         }
         if self.searches.is_not_found(flow, now) {
-            out.push(Effect::Reset { flow, seq: segment.ack });
+            reset(out, flow, segment.ack, Evidence::DeniedRecently);
             return;
         }
         self.start_search(segment, hop.origin(), members, now, out);
     }
 
+    /// Delivers a client's packet if it belongs to a flow of the backend server. Returns whether it does.
+    fn accept_established(
+        &mut self,
+        flow: Flow,
+        segment: &Segment,
+        hop: Hop,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        match self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
+            Match::Unknown => return false,
+            Match::Known => {}
+            Match::Opening => out.push(Effect::LogOpened { flow }),
+        }
+        out.push(Effect::Deliver);
+        true
+    }
+
     /// Starts a search for the owner of a flow by querying all peers. It ends at once if there is none to query.
     fn start_search(
         &mut self,
@@ -561,7 +580,7 @@
             .filter(|member| member.is_unreachable(now))
             .collect();
         for member in unreachable {
-            let progress = self.searches.record_denial(flow, member.ip, now);
+            let progress = self.searches.record_silence(flow, member.ip, now);
             reset_if_not_found(flow, &progress, out);
         }
     }
@@ -586,8 +605,7 @@
     /// Handles the query of another agent whether this one holds the flow of a packet.
     pub fn handle_query(&mut self, segment: &Segment, hop: Hop, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.flow_from_client();
-        if self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
-            out.push(Effect::Deliver);
+        if self.accept_established(flow, segment, hop, now, out) {
             send_note(out, hop.sender, Note::Claim(flow));
             send_note(out, hop.balancer, Note::Learn(flow));
         } else if self.needs_probe() {
@@ -622,12 +640,8 @@
             return;
         }
         match self.table.remove(flow) {
-            Some(Entry {
-                state: State::Open | State::Closed,
-                ..
-            }) => {
-                log(out, flow, "reset: backend server dropped the flow");
-                out.push(Effect::Reset { flow, seq: segment.ack });
+            Some(entry) if matches!(entry.state, State::Open | State::Closed) => {
+                reset(out, flow, segment.ack, Evidence::Returned(Holding::from(&entry)));
             }
             Some(_) => self.start_search(segment, Origin::of(entry), members, now, out),
             // A late answer to a probe. Starting another search would cause further probes, without end.
@@ -784,19 +798,21 @@
             .collect();
         for (flow, seq) in dropped {
             self.table.remove(flow);
-            log(out, flow, "reset: route was removed");
-            out.push(Effect::Reset { flow, seq });
+            reset(out, flow, seq, Evidence::RouteRemoved);
         }
     }
 }
 
 fn reset_if_not_found(flow: Flow, progress: &Progress, out: &mut Vec<Effect>) {
-    if let Progress::NotFound { client_ack } = *progress {
-        log(out, flow, "reset: no agent holds the flow");
-        out.push(Effect::Reset { flow, seq: client_ack });
+    if let Progress::NotFound { client_ack, denials } = *progress {
+        reset(out, flow, client_ack, Evidence::DeniedByAll(denials));
     }
 }
 
+fn reset(out: &mut Vec<Effect>, flow: Flow, seq: u32, evidence: Evidence) {
+    out.push(Effect::Reset { flow, seq, evidence });
+}
+
 fn send_note(out: &mut Vec<Effect>, to: Ipv4Addr, note: Note) {
     out.push(Effect::SendNote { to, note });
 }
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -169,16 +169,16 @@
         }
     }
 
-    /// Caches the agent of a flow, unless the cache is full.
-    pub fn learn(&mut self, flow: Flow, agent: Ipv4Addr, now: Instant) {
+    /// Caches the agent of a flow, unless the cache is full. Returns the agent that was cached before.
+    pub fn learn(&mut self, flow: Flow, agent: Ipv4Addr, now: Instant) -> Option<Ipv4Addr> {
         if self.flows.len() >= self.capacity && !self.flows.contains_key(&flow) {
-            return;
+            return None;
         }
         let entry = Entry {
             agent,
             expires_at: now + ENTRY_TTL,
         };
-        self.flows.insert(flow, entry);
+        self.flows.insert(flow, entry).map(|previous| previous.agent)
     }
 
     /// Removes expired entries.
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -10,6 +10,7 @@
 pub mod backend;
 pub mod balancer;
 pub mod discovery;
+pub mod evidence;
 pub mod member;
 pub mod placement;
 pub mod pointer;
--- a/crates/dogwoodpitch/src/state/steering/search.rs
+++ b/crates/dogwoodpitch/src/state/steering/search.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use crate::state::steering::segment::Flow;
+use crate::state::steering::{evidence::Denials, segment::Flow};
 
 /// Time after which a search without a result expires. It ends before the client retransmits, after 200 ms, so that the
 /// retransmission can start a new search.
@@ -19,6 +19,7 @@
 #[derive(Debug, Clone)]
 struct Search {
     awaited: BTreeSet<Ipv4Addr>,
+    denials: Denials,
     client_ack: u32,
     expires_at: Instant,
 }
@@ -32,6 +33,8 @@
     NotFound {
         /// Last acknowledgment of the client, from which the reset takes its sequence number.
         client_ack: u32,
+        /// Answers to the search.
+        denials: Denials,
     },
 }
 
@@ -50,6 +53,11 @@
             return false;
         }
         let search = Search {
+            denials: Denials {
+                started_at: now,
+                queried: queried.len(),
+                silent: 0,
+            },
             awaited: queried,
             client_ack,
             expires_at: now + TIMEOUT,
@@ -58,7 +66,7 @@
         true
     }
 
-    /// Records that an agent does not hold the flow, or is not waited for any longer.
+    /// Records that an agent does not hold the flow.
     pub fn record_denial(&mut self, flow: Flow, agent: Ipv4Addr, now: Instant) -> Progress {
         let Some(search) = self.searches.get_mut(&flow) else {
             return Progress::Pending;
@@ -67,15 +75,23 @@
         self.finish_if_denied_by_all(flow, now)
     }
 
+    /// Records that the answer of a silent agent is not waited for any longer.
+    pub fn record_silence(&mut self, flow: Flow, agent: Ipv4Addr, now: Instant) -> Progress {
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.denials.silent += usize::from(search.awaited.contains(&agent));
+        }
+        self.record_denial(flow, agent, now)
+    }
+
     /// Finishes the search if no answer is outstanding.
     pub fn finish_if_denied_by_all(&mut self, flow: Flow, now: Instant) -> Progress {
         let Some(search) = self.searches.get(&flow).filter(|search| search.awaited.is_empty()) else {
             return Progress::Pending;
         };
-        let client_ack = search.client_ack;
+        let (client_ack, denials) = (search.client_ack, search.denials);
         self.searches.remove(&flow);
         self.not_found.insert(flow, now + NOT_FOUND_TTL);
-        Progress::NotFound { client_ack }
+        Progress::NotFound { client_ack, denials }
     }
 
     /// Ends the search because the owner is known.
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -59,6 +59,8 @@
     pub client_ack: u32,
     /// Last sequence number of the backend server.
     pub backend_seq: Option<u32>,
+    /// Whether the client has acknowledged the backend server's SYN+ACK, which opens the flow.
+    pub acknowledged: bool,
     /// Balancer that forwarded the last packet.
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
@@ -76,6 +78,17 @@
     expires_at: Instant,
 }
 
+/// Relation of a client's packet to the flows in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Match {
+    /// The packet belongs to no flow in the table.
+    Unknown,
+    /// The packet belongs to a flow in the table.
+    Known,
+    /// The packet is the first one that acknowledges the backend server's SYN+ACK.
+    Opening,
+}
+
 /// Request without a response so far.
 #[derive(Debug, Clone, Copy)]
 struct Request {
@@ -114,6 +127,7 @@
             state,
             client_ack: 0,
             backend_seq: None,
+            acknowledged: false,
             balancer,
             hops,
             opened_at: now,
@@ -149,21 +163,22 @@
         self.flows.get(&flow)
     }
 
-    /// Updates a flow with a client's packet other than an initial SYN. Returns whether the packet belongs to a flow in
-    /// the table.
+    /// Updates a flow with a client's packet other than an initial SYN.
     pub fn record_client_packet(
         &mut self,
         flow: Flow,
         segment: &Segment,
         balancer: Option<Ipv4Addr>,
         now: Instant,
-    ) -> bool {
+    ) -> Match {
         let Some(entry) = self.flows.get_mut(&flow) else {
-            return false;
+            return Match::Unknown;
         };
         if entry.backend_seq.is_some_and(|seq| !is_near(seq, segment.ack)) {
-            return false;
+            return Match::Unknown;
         }
+        let opening = entry.backend_seq.is_some() && !entry.acknowledged;
+        entry.acknowledged |= opening;
         entry.client_ack = segment.ack;
         entry.balancer = balancer.or(entry.balancer);
         entry.expires_at = now
@@ -188,7 +203,7 @@
         if segment.flags.contains(Flags::RST) {
             self.close(flow, now);
         }
-        true
+        if opening { Match::Opening } else { Match::Known }
     }
 
     /// Updates a flow with a packet of the backend server. Returns the latency of the request if the packet begins its
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -17,6 +17,7 @@
     backend::Phase,
     balancer::{Balancer, Decision},
     discovery::{self, Message},
+    evidence::Evidence,
     member::Members,
     rank,
     report::Stance,
@@ -93,7 +94,7 @@
     assert_eq!(resets(&out), 1);
     out.clear();
     agent.handle_client_packet(&data(2, 901), hop(BALANCER), &Members::default(), later, &mut out);
-    assert_eq!(out, [Effect::Deliver]);
+    assert_eq!(out, [Effect::LogOpened { flow: flow(2) }, Effect::Deliver]);
     out.clear();
     agent.handle_heartbeat(&heartbeat(1, 9, true), later, &mut out);
     assert_eq!(agent.backend.phase(later), Phase::Ready);
@@ -198,7 +199,14 @@
                 balancer: BALANCER,
             },
         ),
-        (Stance::Draining, Effect::Reset { flow: flow(3), seq: 0 }),
+        (
+            Stance::Draining,
+            Effect::Reset {
+                flow: flow(3),
+                seq: 0,
+                evidence: Evidence::SynRefused,
+            },
+        ),
     ] {
         out.clear();
         agent.handle_client_packet(&syn(3, 0), hop(BALANCER), &members(&[B], peer, now), now, &mut out);
@@ -257,7 +265,7 @@
     agent.handle_heartbeat(&heartbeat(1, 1, false), now, &mut out);
     out.clear();
     agent.handle_client_packet(&data(1, 501), hop(BALANCER), &Members::default(), now, &mut out);
-    assert_eq!(out, [Effect::Deliver]);
+    assert_eq!(out, [Effect::LogOpened { flow: flow(1) }, Effect::Deliver]);
 }
 
 /// A balancer with older routes must not place a SYN on a service that the route of its address no longer names.
