--- a/crates/dogwoodpitch/src/state/steering/evidence.rs
+++ b/crates/dogwoodpitch/src/state/steering/evidence.rs
@@ -28,6 +28,10 @@
     pub state: State,
     /// Whether the client has acknowledged the backend server's SYN+ACK.
     pub acknowledged: bool,
+    /// Last acknowledgment of the client.
+    pub client_ack: u32,
+    /// Last sequence number of the backend server.
+    pub backend_seq: Option<u32>,
     /// When the flow was added to the table.
     pub opened_at: Instant,
 }
@@ -62,6 +66,8 @@
         Self {
             state: entry.state,
             acknowledged: entry.acknowledged,
+            client_ack: entry.client_ack,
+            backend_seq: entry.backend_seq,
             opened_at: entry.opened_at,
         }
     }
