Show that the loser of two handshakes resets an open flow

Callers saw open flows reset although their own backend server served them. A SYN waits in the queue of one agent, and its copy is delivered by another. The client opens the flow with the first one, while its balancer has cached the second one. The second agent delivers the client's packet because its entry has no sequence number yet, and resets the flow when the backend server returns the packet after its SYN+ACK.

The test fails: Deliver, SendToClient, Reset with state Open, acknowledged false.

--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -764,3 +764,55 @@
     }
     assert!(stored.is_empty(), "{} left", stored.len());
 }
+
+/// A SYN waits in the queue of one agent while its copy is delivered by another. Both backend servers answer, and the
+/// client opens the flow with the first one. The second one returns the packets that its agent delivers to it, which
+/// says nothing about the first one.
+#[test]
+fn a_loser_of_two_handshakes_must_not_reset_the_flow() {
+    let now = Instant::now();
+    let (mut first, mut second) = (agent_with_backend(A, now), agent_with_backend(B, now));
+    let mut peers = members(&[A, B], Stance::Open, now);
+    let mut balancer = balancer();
+    let mut out = Vec::new();
+    for port in 0..3 * 7 {
+        first.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+        first.handle_client_packet(&data(port, 501), hop(BALANCER), &Members::default(), now, &mut out);
+    }
+    out.clear();
+    first.handle_client_packet(&syn(100, 0), hop(BALANCER), &Members::default(), now, &mut out);
+    assert!(out.contains(&Effect::Hold { flow: flow(100) }), "{out:?}");
+    let mut answer = from_backend(1, 501);
+    answer.data_len = 1_000;
+    first.handle_backend_packet(&answer, now + 180 * MS, &mut out);
+    assert!(out.contains(&Effect::Release { flow: flow(100) }), "{out:?}");
+    balancer.learn(flow(100), A, now + 181 * MS);
+    let copy = balancer.handle_client_packet(&syn(100, 1), &mut peers, now + 200 * MS);
+    assert!(matches!(copy, Decision::Forward { to: B, .. }), "{copy:?}");
+    out.clear();
+    second.handle_client_packet(
+        &syn(100, 1),
+        hop(BALANCER),
+        &Members::default(),
+        now + 200 * MS,
+        &mut out,
+    );
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+    // The client acknowledges the first backend server, and its balancer has cached the second agent.
+    first.handle_backend_packet(&from_backend(100, 500), now + 205 * MS, &mut out);
+    let opening = balancer.handle_client_packet(&data(100, 501), &mut peers, now + 212 * MS);
+    assert!(matches!(opening, Decision::Forward { to: B, .. }), "{opening:?}");
+    out.clear();
+    second.handle_client_packet(
+        &data(100, 501),
+        hop(BALANCER),
+        &members(&[A], Stance::Open, now),
+        now + 212 * MS,
+        &mut out,
+    );
+    second.handle_backend_packet(&from_backend(100, 9_000_000), now + 213 * MS, &mut out);
+    let mut returned = data(100, 501);
+    returned.flags = returned.flags.union(Flags::RETURNED);
+    second.handle_returned_packet(&returned, &members(&[A], Stance::Open, now), now + 214 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
