Open a flow at an agent only when its client acknowledges the local handshake

Callers saw open flows reset although their own backend server served them ("an open flow was reset by side-nasr-city-N while its server serves").

Copies of a SYN go to several agents. Two backend servers answer, the client opens the flow with one of them, and the other one holds a half-open flow. Its agent took that entry for the flow itself: - before its backend server had answered, it matched any packet of the client; - afterwards it matched an acknowledgment within 4 MiB of its backend server's sequence number, which the number of another backend server meets once in 512 times; - its backend server returned the packet, and the agent reset the flow; it also reset it when its backend server ended, and passed on a reset of the half-open flow.

An entry is now `Opening` until the client acknowledges a sequence number that the local backend server has sent, and an acknowledgment outside of the sent range belongs to another backend server: the agent searches for the owner. An end, a reset or a returned packet of a flow that is only `Opening` says nothing about the flow of the client.

Tests that made an open flow by a SYN+ACK alone now let the client acknowledge it; their checks are the same.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -236,7 +236,7 @@
     match evidence {
         Evidence::BackendEnded(held) | Evidence::Returned(held) => log::info!(
             event = "flow.reset", client:% = flow.client, service:% = flow.service, decision, state:? = held.state,
-            acknowledged = held.acknowledged, client_ack = held.client_ack, backend_seq:? = held.backend_seq,
+            client_ack = held.client_ack, backend_seq:? = held.backend_seq,
             age_ms = age_ms(held.opened_at);
             "flow of the local backend server reset"
         ),
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -627,7 +627,7 @@
         let entry = self.table.get(flow).copied();
         if segment.is_initial_syn() {
             // The backend server may return a copy of a SYN although it has answered the first one.
-            if entry.is_some_and(|entry| entry.state == State::Open) {
+            if entry.is_some_and(|entry| entry.sent.is_some()) {
                 return;
             }
             self.table.remove(flow);
@@ -653,9 +653,10 @@
     pub fn handle_backend_packet(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.flow_from_backend();
         let requesters = self.probes.take_requesters(flow);
-        if segment.flags.contains(Flags::RST) && self.table.get(flow).is_none() {
+        let unopened = self.table.get(flow).is_none_or(|entry| entry.state == State::Opening);
+        if segment.flags.contains(Flags::RST) && unopened {
             // A backend server that has just started resets flows that it never held. Another one may hold this flow.
-            log(out, flow, "drop: reset of a flow that is not in the table");
+            log(out, flow, "drop: reset of a flow that the client has not opened here");
             if let Some(requesters) = requesters {
                 self.deny_probed(flow, &requesters, now, out);
             }
--- a/crates/dogwoodpitch/src/state/steering/evidence.rs
+++ b/crates/dogwoodpitch/src/state/steering/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::state::steering::table::{Entry, State};
+use crate::state::steering::table::{Entry, Sent, State};
 
 /// Why a flow is reset, with the inputs of the decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,11 +26,9 @@
 pub struct Holding {
     /// State of the flow.
     pub state: State,
-    /// Whether the client has acknowledged the backend server's SYN+ACK.
-    pub acknowledged: bool,
     /// Last acknowledgment of the client.
     pub client_ack: u32,
-    /// Last sequence number of the backend server.
+    /// End of the range of sequence numbers that the backend server has sent.
     pub backend_seq: Option<u32>,
     /// When the flow was added to the table.
     pub opened_at: Instant,
@@ -65,9 +63,8 @@
     fn from(entry: &Entry) -> Self {
         Self {
             state: entry.state,
-            acknowledged: entry.acknowledged,
             client_ack: entry.client_ack,
-            backend_seq: entry.backend_seq,
+            backend_seq: entry.sent.map(Sent::end),
             opened_at: entry.opened_at,
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -15,13 +15,13 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// How long a closed flow is kept for late packets.
 const CLOSED_TTL: Duration = Duration::from_secs(3);
-/// How long a flow may take from its SYN to the SYN+ACK and the client's next packet.
+/// How long a flow may take from its SYN to the SYN+ACK, and from the last SYN+ACK to the client's next packet.
 const OPENING_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of flows in the table. The platform's backend servers hold 2,000 each.
 const MAX_FLOWS: usize = 16_384;
-/// Maximum distance between an acknowledgment and the backend server's sequence number for both to belong to the same
-/// flow. Initial sequence numbers are random over 32 bits, and less data than this is in flight.
-const ACK_WINDOW: u32 = 1 << 22;
+/// Upper bound of the bytes in flight from a backend server to its client: twice the 16 packets of 1,200 bytes that the
+/// protocol permits.
+const MAX_IN_FLIGHT: u32 = 38_400;
 /// Weight of the newest request in the moving average of the service time.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Weight of the newest request in the moving average of failed requests.
@@ -40,9 +40,10 @@
 /// State of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
-    /// The SYN was delivered to the backend server.
+    /// The SYN was delivered to the backend server. The client may open the flow with this backend server, or with
+    /// another one that has got a copy of the SYN.
     Opening,
-    /// The backend server has answered.
+    /// The client has acknowledged the SYN+ACK of the backend server. No other backend server holds the flow.
     Open,
     /// A peer's pointer says that the backend server holds the flow. This process has not seen a packet of it.
     Restored,
@@ -57,10 +58,8 @@
     pub state: State,
     /// Last acknowledgment of the client.
     pub client_ack: u32,
-    /// Last sequence number of the backend server.
-    pub backend_seq: Option<u32>,
-    /// Whether the client has acknowledged the backend server's SYN+ACK, which opens the flow.
-    pub acknowledged: bool,
+    /// Sequence numbers that the backend server has sent.
+    pub sent: Option<Sent>,
     /// Balancer that forwarded the last packet.
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
@@ -78,10 +77,49 @@
     expires_at: Instant,
 }
 
+/// Range of sequence numbers that a backend server has sent in a flow. Each backend server starts at a random one, so
+/// an acknowledgment tells with which of several backend servers the client has opened the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    start: u32,
+    end: u32,
+}
+
+impl Sent {
+    fn of(segment: &Segment) -> Self {
+        // Without the SYN+ACK, this process has missed packets that are in flight before or after this one.
+        let missed = if segment.flags.contains(Flags::SYN) {
+            0
+        } else {
+            MAX_IN_FLIGHT
+        };
+        Self {
+            start: segment.seq.wrapping_sub(missed),
+            end: segment.end().wrapping_add(missed),
+        }
+    }
+
+    fn extend(&mut self, segment: &Segment) {
+        if is_after(segment.end(), self.end) {
+            self.end = segment.end();
+        }
+    }
+
+    /// Whether a client that acknowledges `ack` has received packets of this backend server.
+    fn contains(self, ack: u32) -> bool {
+        ack.wrapping_sub(self.start) <= self.end.wrapping_sub(self.start)
+    }
+
+    /// End of the range, exclusive.
+    pub fn end(self) -> u32 {
+        self.end
+    }
+}
+
 /// Relation of a client's packet to the flows in the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Match {
-    /// The packet belongs to no flow in the table.
+    /// The packet belongs to no flow in the table, or acknowledges another backend server.
     Unknown,
     /// The packet belongs to a flow in the table.
     Known,
@@ -126,8 +164,7 @@
         let entry = Entry {
             state,
             client_ack: 0,
-            backend_seq: None,
-            acknowledged: false,
+            sent: None,
             balancer,
             hops,
             opened_at: now,
@@ -174,11 +211,17 @@
         let Some(entry) = self.flows.get_mut(&flow) else {
             return Match::Unknown;
         };
-        if entry.backend_seq.is_some_and(|seq| !is_near(seq, segment.ack)) {
+        let known = match entry.sent {
+            Some(sent) => sent.contains(segment.ack),
+            None => entry.state == State::Restored,
+        };
+        if !known {
             return Match::Unknown;
         }
-        let opening = entry.backend_seq.is_some() && !entry.acknowledged;
-        entry.acknowledged |= opening;
+        let opening = entry.state == State::Opening;
+        if opening {
+            entry.state = State::Open;
+        }
         entry.client_ack = segment.ack;
         entry.balancer = balancer.or(entry.balancer);
         entry.expires_at = now
@@ -215,14 +258,24 @@
         slots: u32,
         now: Instant,
     ) -> Option<Duration> {
+        let handshake = segment.flags.contains(Flags::SYN);
         if !self.flows.contains_key(&flow) {
-            self.insert(flow, State::Open, 0, None, now);
+            self.insert(flow, State::Opening, 0, None, now);
         }
         let entry = self.flows.get_mut(&flow)?;
-        entry.backend_seq = Some(segment.seq);
-        if entry.state != State::Closed {
+        match &mut entry.sent {
+            Some(sent) if !handshake => sent.extend(segment),
+            Some(_) if entry.state != State::Opening => {}
+            sent => *sent = Some(Sent::of(segment)),
+        }
+        // A backend server sends anything but its SYN+ACK only after the client's acknowledgment.
+        if entry.state != State::Closed && !handshake {
             entry.state = State::Open;
-            entry.expires_at = now + IDLE_TIMEOUT;
+        }
+        match entry.state {
+            State::Opening => entry.expires_at = now + OPENING_TIMEOUT,
+            State::Open => entry.expires_at = now + IDLE_TIMEOUT,
+            State::Restored | State::Closed => {}
         }
         let request = if segment.data_len > 0 {
             entry.request.take()
@@ -316,9 +369,3 @@
     let distance = seq.wrapping_sub(other);
     distance != 0 && distance < u32::MAX / 2
 }
-
-/// Whether an acknowledgment can belong to a flow at the backend server's sequence number `seq`.
-fn is_near(seq: u32, ack: u32) -> bool {
-    let distance = ack.wrapping_sub(seq);
-    distance < ACK_WINDOW || distance.wrapping_neg() < ACK_WINDOW
-}
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -11,7 +11,7 @@
 use dogwoodpitch::state::{
     roster::Role,
     steering::{
-        agent::{Agent, Hop, Identity},
+        agent::{Agent, Effect, Hop, Identity},
         backend::Heartbeat,
         member::Members,
         report::{Load, Report, Stance},
@@ -70,6 +70,27 @@
     }
 }
 
+/// Data of the backend server.
+pub(crate) fn answer(port: u16, seq: u32, data_len: u16) -> Segment {
+    Segment {
+        flags: Flags::ACK,
+        data_len,
+        ..from_backend(port, seq)
+    }
+}
+
+/// Opens a flow: the backend server answers the SYN, and the client acknowledges it.
+pub(crate) fn open_flow(agent: &mut Agent, port: u16, seq: u32, now: Instant) {
+    let mut out = Vec::new();
+    agent.handle_backend_packet(&from_backend(port, seq), now, &mut out);
+    let acknowledgment = Segment {
+        data_len: 0,
+        ..data(port, seq + 1)
+    };
+    agent.handle_client_packet(&acknowledgment, hop(BALANCER), &Members::default(), now, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+}
+
 pub(crate) fn hop(sender: Ipv4Addr) -> Hop {
     Hop {
         sender,
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -21,12 +21,12 @@
     member::Members,
     rank,
     report::Stance,
-    segment::Flags,
+    segment::{Flags, Segment},
 };
 
 use build::{
-    A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, data, flow,
-    from_backend, heartbeat, hop, members, routes, syn,
+    A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, answer, data,
+    flow, from_backend, heartbeat, hop, members, open_flow, routes, syn,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -45,7 +45,7 @@
     let now = Instant::now();
     let mut agent = agent_with_backend(A, now);
     let mut out = Vec::new();
-    agent.handle_backend_packet(&from_backend(1, 500), now, &mut out);
+    open_flow(&mut agent, 1, 500, now);
     agent.handle_heartbeat(&heartbeat(1, 2, true), now, &mut out);
     out.clear();
     assert!(!agent.handle_connection_refused(now, &mut out));
@@ -69,7 +69,7 @@
     let mut agent = agent_with_backend(A, now);
     let mut out = Vec::new();
     for port in 0..20 {
-        agent.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+        open_flow(&mut agent, port, 500, now);
     }
     out.clear();
     assert!(agent.handle_connection_refused(now, &mut out));
@@ -83,7 +83,7 @@
     let now = Instant::now();
     let mut agent = agent_with_backend(A, now);
     let mut out = Vec::new();
-    agent.handle_backend_packet(&from_backend(1, 500), now, &mut out);
+    open_flow(&mut agent, 1, 500, now);
     out.clear();
     let later = now + 10_000 * MS;
     // A flow that the new lifetime opens before its first heartbeat must not be reset by it (soak, seed 3).
@@ -291,7 +291,7 @@
     let members = members(&[B], Stance::Open, now);
     let mut owner = agent_with_backend(A, now);
     let mut out = Vec::new();
-    owner.handle_backend_packet(&from_backend(1, 500), now, &mut out);
+    open_flow(&mut owner, 1, 500, now);
     out.clear();
     owner.tick(&members, now + 200 * MS, &mut out);
     let point = Effect::SendNote {
@@ -522,8 +522,7 @@
     agent.handle_backend_packet(&from_backend(1, 500), now, &mut out);
     agent.handle_client_packet(&data(1, 501), hop(BALANCER), &Members::default(), now, &mut out);
     assert_eq!(agent.load(now).busy, 1);
-    let mut answer = from_backend(1, 501);
-    answer.data_len = 1_000;
+    let answer = answer(1, 501, 1_000);
     agent.handle_backend_packet(&answer, now + 50 * MS, &mut out);
     agent.handle_client_packet(
         &data(1, 501),
@@ -556,8 +555,7 @@
         agent.handle_client_packet(&syn(port, copy), hop(BALANCER), &Members::default(), now, &mut out);
         assert!(out.contains(&Effect::Hold { flow: flow(port) }), "{out:?}");
     }
-    let mut answer = from_backend(1, 501);
-    answer.data_len = 1_000;
+    let answer = answer(1, 501, 1_000);
     out.clear();
     agent.handle_backend_packet(&answer, now + 50 * MS, &mut out);
     assert!(out.contains(&Effect::Release { flow: flow(100) }), "{out:?}");
@@ -742,8 +740,7 @@
         agent.handle_client_packet(&syn(port, 0), hop(BALANCER), &Members::default(), now, &mut out);
     }
     for port in 0..5 {
-        let mut answer = from_backend(port, 501);
-        answer.data_len = 1_000;
+        let answer = answer(port, 501, 1_000);
         agent.handle_backend_packet(&answer, now + 50 * MS, &mut out);
     }
     agent.handle_client_packet(
@@ -782,8 +779,7 @@
     out.clear();
     first.handle_client_packet(&syn(100, 0), hop(BALANCER), &Members::default(), now, &mut out);
     assert!(out.contains(&Effect::Hold { flow: flow(100) }), "{out:?}");
-    let mut answer = from_backend(1, 501);
-    answer.data_len = 1_000;
+    let answer = answer(1, 501, 1_000);
     first.handle_backend_packet(&answer, now + 180 * MS, &mut out);
     assert!(out.contains(&Effect::Release { flow: flow(100) }), "{out:?}");
     balancer.learn(flow(100), A, now + 181 * MS);
@@ -816,3 +812,71 @@
     second.handle_returned_packet(&returned, &members(&[A], Stance::Open, now), now + 214 * MS, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// The end of the backend server that lost the handshake, or its reset of the half-open flow, says nothing about the
+/// backend server that the client has chosen.
+#[test]
+fn the_end_of_a_half_open_flow_must_not_reset_the_flow() {
+    let now = Instant::now();
+    let mut loser = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    loser.handle_client_packet(&syn(1, 1), hop(BALANCER), &Members::default(), now, &mut out);
+    loser.handle_backend_packet(&from_backend(1, 9_000_000), now, &mut out);
+    out.clear();
+    let reset = Segment {
+        flags: Flags::RST,
+        ..from_backend(1, 9_000_001)
+    };
+    loser.handle_backend_packet(&reset, now + 100 * MS, &mut out);
+    assert!(
+        !out.iter().any(|effect| matches!(effect, Effect::SendToClient { .. })),
+        "{out:?}"
+    );
+    assert!(loser.handle_connection_refused(now + 200 * MS, &mut out));
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
+
+/// An agent that has restarted sees a retransmission first. Its client may have acknowledged packets that follow it,
+/// and may still acknowledge packets before it.
+#[test]
+fn a_restarted_agent_recognizes_acknowledgments_of_packets_that_it_has_not_seen() {
+    let now = Instant::now();
+    for ack in [100_000 - 16 * 1_200, 100_000, 100_000 + 16 * 1_200] {
+        let mut agent = agent_with_backend(A, now);
+        let mut out = Vec::new();
+        agent.handle_backend_packet(&answer(1, 100_000, 1_200), now, &mut out);
+        out.clear();
+        agent.handle_client_packet(
+            &data(1, ack),
+            hop(BALANCER),
+            &members(&[B], Stance::Open, now),
+            now,
+            &mut out,
+        );
+        assert_eq!(out, [Effect::Deliver], "{ack}");
+    }
+}
+
+/// The backend server repeats its SYN+ACK for longer than a flow usually takes to open, because the client's
+/// acknowledgments are lost.
+#[test]
+fn a_flow_may_open_as_long_as_the_backend_server_repeats_its_answer() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &Members::default(), now, &mut out);
+    for second in 0..10 {
+        let then = now + second * 1_000 * MS;
+        agent.handle_backend_packet(&from_backend(1, 500), then, &mut out);
+        agent.tick(&Members::default(), then, &mut out);
+    }
+    out.clear();
+    agent.handle_client_packet(
+        &data(1, 501),
+        hop(BALANCER),
+        &members(&[B], Stance::Open, now),
+        now + 10_000 * MS,
+        &mut out,
+    );
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+}
