Leave the end of a flow with a silent agent to the agents

Callers could lose an open flow because a VM that never held it had failed.

A balancer caches the agent to which it has sent a SYN. The client may have opened the flow elsewhere, through a copy that another balancer placed; then no note corrects the cache. When the cached agent had been silent for 1.2 s, the balancer reset the flow ("owner_lost"): on the silence of an agent that had only been tried.

Example 100.66.0.232:1064: tried at side-nasr-city-11 at 35.018, opened by side-nasr-city-5 at 35.240, reset by front-helwan-6 at 40.463.

The balancer now sends the packet to a home of the flow, as it does without an entry. The home knows the owner by its pointer or asks all agents, and resets the flow if they deny it.

a_silent_agent_that_was_only_tried_must_not_reset_the_flow fails before and passes now. It replaces an_unreachable_owner_ends_its_idempotent_flows, which held the balancer to this reset; it checks that a flow without an owner still ends, by the home. That test's other half, no reset by a balancer that is cut off, holds because a balancer resets no open flow any more.

--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -13,7 +13,7 @@
     member::{Member, Members},
     placement::{self, Candidate},
     rank,
-    route::{Retry, Table},
+    route::Table,
     segment::{Flags, Flow, Segment},
 };
 
@@ -21,9 +21,6 @@
 const ENTRY_TTL: Duration = Duration::from_secs(75);
 /// Time to live of an entry after the client has closed its flow.
 const CLOSED_TTL: Duration = Duration::from_secs(3);
-/// Share of the known agents that must be alive for missing reports to be attributed to an agent. With fewer, the local
-/// node is probably cut off.
-const QUORUM_SHARE: f64 = 0.5;
 
 /// Decision on a packet, with its reason.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -121,6 +118,8 @@
         place_without_open_agent(segment, service, members, now)
     }
 
+    /// Sends a packet to the cached agent, or to a home of the flow. The cached agent may be one that has only been tried,
+    /// so its silence is no reason for a reset: the home asks the other agents.
     fn handle_established(&mut self, segment: &Segment, members: &Members, now: Instant) -> Decision {
         let flow = segment.flow_from_client();
         let closing = segment.flags.contains(Flags::RST) || segment.flags.contains(Flags::FIN);
@@ -142,29 +141,19 @@
         let Some(route) = self.routes.get(flow.service) else {
             return Decision::Drop { reason: "no_route" };
         };
-        let service = route.service_for(flow);
-        if unreachable.is_some() && route.retry == Retry::Always && has_quorum(members, service, now) {
-            self.flows.remove(&flow);
-            return Decision::Reset {
-                seq: segment.ack,
-                reason: "owner_lost",
-            };
-        }
-        match choose_home(flow, service, members, now) {
-            Some(to) => Decision::Forward {
+        match (choose_home(flow, route.service_for(flow), members, now), unreachable) {
+            (Some(to), _) => Decision::Forward {
                 to,
                 guessed: true,
                 reason: "home",
             },
-            None => match unreachable {
-                Some(to) => Decision::Forward {
-                    to,
-                    guessed: true,
-                    reason: "owner_silent",
-                },
-                None => Decision::Drop {
-                    reason: "no_agent_fresh",
-                },
+            (None, Some(to)) => Decision::Forward {
+                to,
+                guessed: true,
+                reason: "owner_silent",
+            },
+            (None, None) => Decision::Drop {
+                reason: "no_agent_fresh",
             },
         }
     }
@@ -238,14 +227,3 @@
         reason: "no_agent_open",
     }
 }
-
-/// Whether enough agents of a service are alive to attribute missing reports to an agent.
-#[expect(clippy::cast_precision_loss, reason = "agents of a service are few")]
-fn has_quorum(members: &Members, service: &Bytes, now: Instant) -> bool {
-    let known = members.holders(service, now).count();
-    let fresh = members
-        .holders(service, now)
-        .filter(|member| member.is_alive(now))
-        .count();
-    fresh as f64 >= known as f64 * QUORUM_SHARE
-}
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{BTreeSet, VecDeque},
+    net::Ipv4Addr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -383,25 +384,36 @@
     assert_ne!(to(1), first);
 }
 
-/// A flow whose agent is unreachable is reset if its client retries after any failure, unless most agents are
-/// unreachable: then the balancer itself is probably cut off.
+/// The agent that a balancer has cached may be one that has only been tried with a SYN. If it is unreachable, its flow
+/// ends only if no other agent holds it.
 #[test]
-fn an_unreachable_owner_ends_its_idempotent_flows() {
+fn a_silent_agent_that_was_only_tried_must_not_reset_the_flow() {
     let start = Instant::now();
     let now = start + 1_300 * MS;
-    for (alive, expected) in [(vec![B, C], true), (vec![], false)] {
-        let mut members = members(&[A, B, C], Stance::Open, start);
-        for (number, ip) in alive.iter().enumerate() {
-            members.record_report(*ip, agent_report(number as u64 + 2, 2, Stance::Open), now);
-        }
+    for held in [true, false] {
+        let known_to = |local: Ipv4Addr| {
+            let others: Vec<_> = [A, B, C].into_iter().filter(|ip| *ip != local).collect();
+            let mut members = members(&others, Stance::Open, start);
+            for ip in others.into_iter().filter(|ip| *ip != A) {
+                members.record_report(ip, agent_report(9, 1, Stance::Open), now);
+            }
+            members
+        };
         let mut balancer = balancer();
         balancer.learn(flow(1), A, start);
-        let decision = balancer.handle_client_packet(&data(1, 44), &mut members, now);
-        assert_eq!(
-            matches!(decision, Decision::Reset { seq: 44, .. }),
-            expected,
-            "{decision:?}"
-        );
+        let decision = balancer.handle_client_packet(&data(1, 44), &mut known_to(BALANCER), now);
+        let Decision::Forward { to, guessed: true, .. } = decision else {
+            panic!("{decision:?}");
+        };
+        let (members, other) = (known_to(to), if to == B { C } else { B });
+        let mut home = agent_with_backend(to, start);
+        home.mark_announced();
+        let mut out = Vec::new();
+        home.handle_client_packet(&data(1, 44), hop(BALANCER), &members, now, &mut out);
+        let answer = if held { Note::Claim } else { Note::Deny };
+        home.handle_note(other, answer(flow(1)), now + 5 * MS, &mut out);
+        home.tick(&members, now + 100 * MS, &mut out);
+        assert_eq!(resets(&out), usize::from(!held), "{out:?}");
     }
 }
 
