Count a silent agent as denying a flow only if it leaves the query unanswered

Callers could lose an open flow after a change of balancers, although its backend server and its agent were sound.

Agents report to one another each 500 ms, and an agent that has not been heard for 1.2 s counted as denying a flow of repeatable requests at the moment when a search for the flow began. Two lost or late reports in a row have the same effect as the loss of the VM, and so has a pause of the searching process, which handles packets that waited in its socket before the reports behind them.

The query of the search is sent to unreachable agents, too. They now count as denying the flow when they have not answered it after 50 ms, at the next tick. The end of a flow whose VM is gone comes up to 150 ms later.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -561,35 +561,28 @@
         let balancer = from.balancer;
         let peers = queried.into_iter().filter(|ip| *ip != self.ip && !ip.is_unspecified());
         out.extend(peers.map(|to| Effect::Query { to, balancer }));
-        self.deny_for_unreachable(flow, members, now, out);
-        self.finish_search(flow, now, out);
-    }
-
-    /// Counts unreachable peers as denying the flow, if its clients retry after any failure and thus gain by an early
-    /// reset.
-    fn deny_for_unreachable(&mut self, flow: Flow, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        let repeats = self
-            .routes
-            .get(flow.service)
-            .is_some_and(|route| route.retry == Retry::Always);
-        if !repeats {
-            return;
-        }
-        let unreachable: Vec<_> = members
-            .holders(&self.service, now)
-            .filter(|member| member.is_unreachable(now))
-            .collect();
-        for member in unreachable {
-            let progress = self.searches.record_silence(flow, member.ip, now);
-            reset_if_not_found(flow, &progress, out);
-        }
-    }
-
-    fn finish_search(&mut self, flow: Flow, now: Instant, out: &mut Vec<Effect>) {
         let progress = self.searches.finish_if_denied_by_all(flow, now);
         reset_if_not_found(flow, &progress, out);
     }
 
+    /// Counts unreachable peers that have not answered a query either as denying the flow, if its clients retry after
+    /// any failure and thus gain by an early reset. Missing reports alone may be due to losses or to a pause of this
+    /// process.
+    fn deny_for_unreachable(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+        for (flow, silent) in self.searches.unanswered(now) {
+            let route = self.routes.get(flow.service);
+            if route.is_none_or(|route| route.retry != Retry::Always) {
+                continue;
+            }
+            for ip in silent {
+                if members.get(ip).is_some_and(|member| member.is_unreachable(now)) {
+                    let progress = self.searches.record_silence(flow, ip, now);
+                    reset_if_not_found(flow, &progress, out);
+                }
+            }
+        }
+    }
+
     /// Whether a flow that is not in the table may be held by the backend server, so that only a probe can tell.
     fn needs_probe(&self) -> bool {
         let ended = self.backend.has_heartbeat() && self.backend.is_down();
@@ -747,6 +740,7 @@
             self.table_complete = true;
         }
         self.table.expire(now);
+        self.deny_for_unreachable(members, now, out);
         self.searches.expire(now);
         self.probes.expire(now);
         self.pointers.expire(now);
--- a/crates/dogwoodpitch/src/state/steering/search.rs
+++ b/crates/dogwoodpitch/src/state/steering/search.rs
@@ -11,6 +11,8 @@
 /// Time after which a search without a result expires. It ends before the client retransmits, after 200 ms, so that the
 /// retransmission can start a new search.
 const TIMEOUT: Duration = Duration::from_millis(180);
+/// Time after which a query counts as unanswered. Most answers take less than a tenth of it.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the result that no agent holds a flow is cached.
 const NOT_FOUND_TTL: Duration = Duration::from_secs(2);
 /// Maximum number of concurrent searches. Packets that would start more are dropped; the client retransmits them.
@@ -75,6 +77,13 @@
         self.finish_if_denied_by_all(flow, now)
     }
 
+    /// Running searches with queries that have not been answered in time, and the agents that have not answered.
+    pub fn unanswered(&self, now: Instant) -> Vec<(Flow, BTreeSet<Ipv4Addr>)> {
+        let is_due = |search: &Search| now >= search.denials.started_at + ANSWER_TIMEOUT;
+        let due = self.searches.iter().filter(|(_, search)| is_due(search));
+        due.map(|(flow, search)| (*flow, search.awaited.clone())).collect()
+    }
+
     /// Records that the answer of a silent agent is not waited for any longer.
     pub fn record_silence(&mut self, flow: Flow, agent: Ipv4Addr, now: Instant) -> Progress {
         if let Some(search) = self.searches.get_mut(&flow) {
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -180,6 +180,7 @@
         let mut out = Vec::new();
         agent.handle_client_packet(&packet, hop(BALANCER), &members, now, &mut out);
         agent.handle_note(B, Note::Deny(packet.flow_from_client()), now, &mut out);
+        agent.tick(&members, now + 100 * MS, &mut out);
         assert_eq!(resets(&out), expected, "port {port}");
     }
 }
@@ -417,6 +418,23 @@
     }
 }
 
+/// Two lost reports make the owner look unreachable. It answers the query nevertheless.
+#[test]
+fn lost_reports_of_the_owner_must_not_reset_its_flow() {
+    let start = Instant::now();
+    let now = start + 1_300 * MS;
+    let mut members = members(&[B, C], Stance::Open, start);
+    members.record_report(C, agent_report(2, 2, Stance::Open), now);
+    let mut agent = agent_with_backend(A, start);
+    agent.mark_announced();
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(1, 44), hop(BALANCER), &members, now, &mut out);
+    agent.handle_note(C, Note::Deny(flow(1)), now + 4 * MS, &mut out);
+    agent.handle_note(B, Note::Claim(flow(1)), now + 5 * MS, &mut out);
+    agent.tick(&members, now + 100 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
+
 /// A process receives no reports while it is paused, so missing reports say nothing about the other nodes.
 #[test]
 fn timeouts_restart_after_a_pause_of_the_process() {
