Compare acknowledgments with the local handshake only

An acknowledgment tells backend servers apart only until the flow is open: the client's first packet acknowledges exactly the SYN+ACK, and no other backend server holds the flow afterwards. The range of sequence numbers that an entry kept for its whole life is needless and goes; `backend_seq` has its former meaning.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -620,7 +620,7 @@
         let entry = self.table.get(flow).copied();
         if segment.is_initial_syn() {
             // The backend server may return a copy of a SYN although it has answered the first one.
-            if entry.is_some_and(|entry| entry.sent.is_some()) {
+            if entry.is_some_and(|entry| entry.backend_seq.is_some()) {
                 return;
             }
             self.table.remove(flow);
--- a/crates/dogwoodpitch/src/state/steering/evidence.rs
+++ b/crates/dogwoodpitch/src/state/steering/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::state::steering::table::{Entry, Sent, State};
+use crate::state::steering::table::{Entry, State};
 
 /// Why a flow is reset, with the inputs of the decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,7 +28,7 @@
     pub state: State,
     /// Last acknowledgment of the client.
     pub client_ack: u32,
-    /// End of the range of sequence numbers that the backend server has sent.
+    /// Last sequence number of the backend server.
     pub backend_seq: Option<u32>,
     /// When the flow was added to the table.
     pub opened_at: Instant,
@@ -64,7 +64,7 @@
         Self {
             state: entry.state,
             client_ack: entry.client_ack,
-            backend_seq: entry.sent.map(Sent::end),
+            backend_seq: entry.backend_seq,
             opened_at: entry.opened_at,
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/segment.rs
+++ b/crates/dogwoodpitch/src/state/steering/segment.rs
@@ -75,12 +75,6 @@
         }
     }
 
-    /// Sequence number after the packet. SYN and FIN take one each.
-    pub fn end(&self) -> u32 {
-        let flags = u32::from(self.flags.contains(Flags::SYN)) + u32::from(self.flags.contains(Flags::FIN));
-        self.seq.wrapping_add(u32::from(self.data_len) + flags)
-    }
-
     /// Whether the packet opens a flow: a SYN without an ACK.
     pub fn is_initial_syn(&self) -> bool {
         self.flags.contains(Flags::SYN) && !self.flags.contains(Flags::ACK)
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -19,9 +19,6 @@
 const OPENING_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of flows in the table. The platform's backend servers hold 2,000 each.
 const MAX_FLOWS: usize = 16_384;
-/// Upper bound of the bytes in flight from a backend server to its client: twice the 16 packets of 1,200 bytes that the
-/// protocol permits.
-const MAX_IN_FLIGHT: u32 = 38_400;
 /// Weight of the newest request in the moving average of the service time.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Weight of the newest request in the moving average of failed requests.
@@ -58,8 +55,8 @@
     pub state: State,
     /// Last acknowledgment of the client.
     pub client_ack: u32,
-    /// Sequence numbers that the backend server has sent.
-    pub sent: Option<Sent>,
+    /// Last sequence number of the backend server. Until the flow is open, that of its SYN+ACK.
+    pub backend_seq: Option<u32>,
     /// Balancer that forwarded the last packet.
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
@@ -77,45 +74,6 @@
     expires_at: Instant,
 }
 
-/// Range of sequence numbers that a backend server has sent in a flow. Each backend server starts at a random one, so
-/// an acknowledgment tells with which of several backend servers the client has opened the flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sent {
-    start: u32,
-    end: u32,
-}
-
-impl Sent {
-    fn of(segment: &Segment) -> Self {
-        // Without the SYN+ACK, this process has missed packets that are in flight before or after this one.
-        let missed = if segment.flags.contains(Flags::SYN) {
-            0
-        } else {
-            MAX_IN_FLIGHT
-        };
-        Self {
-            start: segment.seq.wrapping_sub(missed),
-            end: segment.end().wrapping_add(missed),
-        }
-    }
-
-    fn extend(&mut self, segment: &Segment) {
-        if is_after(segment.end(), self.end) {
-            self.end = segment.end();
-        }
-    }
-
-    /// Whether a client that acknowledges `ack` has received packets of this backend server.
-    fn contains(self, ack: u32) -> bool {
-        ack.wrapping_sub(self.start) <= self.end.wrapping_sub(self.start)
-    }
-
-    /// End of the range, exclusive.
-    pub fn end(self) -> u32 {
-        self.end
-    }
-}
-
 /// Relation of a client's packet to the flows in the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Match {
@@ -137,6 +95,14 @@
     failed: bool,
 }
 
+impl Entry {
+    /// Whether a packet of the client acknowledges the SYN+ACK of the backend server. Each backend server starts at a
+    /// random sequence number, so this tells with which of several ones the client opens the flow.
+    fn is_acknowledged_by(&self, segment: &Segment) -> bool {
+        self.backend_seq.is_some_and(|seq| segment.ack == seq.wrapping_add(1))
+    }
+}
+
 /// All flows of one backend server.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
@@ -164,7 +130,7 @@
         let entry = Entry {
             state,
             client_ack: 0,
-            sent: None,
+            backend_seq: None,
             balancer,
             hops,
             opened_at: now,
@@ -211,14 +177,10 @@
         let Some(entry) = self.flows.get_mut(&flow) else {
             return Match::Unknown;
         };
-        let known = match entry.sent {
-            Some(sent) => sent.contains(segment.ack),
-            None => entry.state == State::Restored,
-        };
-        if !known {
+        let opening = entry.state == State::Opening;
+        if opening && !entry.is_acknowledged_by(segment) {
             return Match::Unknown;
         }
-        let opening = entry.state == State::Opening;
         if opening {
             entry.state = State::Open;
         }
@@ -263,11 +225,7 @@
             self.insert(flow, State::Opening, 0, None, now);
         }
         let entry = self.flows.get_mut(&flow)?;
-        match &mut entry.sent {
-            Some(sent) if !handshake => sent.extend(segment),
-            Some(_) if entry.state != State::Opening => {}
-            sent => *sent = Some(Sent::of(segment)),
-        }
+        entry.backend_seq = Some(segment.seq);
         // A backend server sends anything but its SYN+ACK only after the client's acknowledgment.
         if entry.state != State::Closed && !handshake {
             entry.state = State::Open;
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -871,7 +871,7 @@
 #[test]
 fn a_restarted_agent_recognizes_acknowledgments_of_packets_that_it_has_not_seen() {
     let now = Instant::now();
-    for ack in [100_000 - 16 * 1_200, 100_000, 100_000 + 16 * 1_200] {
+    for ack in [100_000 - 16 * 1_200, 100_000, 100_000 + 16 * 1_200, 100_000 + 300_000] {
         let mut agent = agent_with_backend(A, now);
         let mut out = Vec::new();
         agent.handle_backend_packet(&answer(1, 100_000, 1_200), now, &mut out);
