Discard a waiting SYN when its client has opened the flow elsewhere

Callers' packets took a detour and a search because the agent that delivered a queued SYN late told the balancer that it holds the flow.

A SYN may still wait at one agent when the client has opened the flow with another backend server through a copy.

a_waiting_syn_of_an_open_flow_is_discarded fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -523,7 +523,13 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         match self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
-            Match::Unknown => return false,
+            Match::Unknown => {
+                // The client has opened the flow with another backend server.
+                if self.queue.remove(flow) {
+                    out.push(Effect::Discard { flow });
+                }
+                return false;
+            }
             Match::Known => {}
             Match::Opening => out.push(Effect::LogOpened { flow }),
         }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -843,6 +843,31 @@
     assert_eq!(resets(&out), 0, "{out:?}");
 }
 
+/// A SYN still waits at an agent when its client has opened the flow with another backend server, as the client's packet
+/// or a peer's query shows. Delivering the SYN would make the balancer send the flow's packets to the wrong agent.
+#[test]
+fn a_waiting_syn_of_an_open_flow_is_discarded() {
+    let now = Instant::now();
+    for queried in [false, true] {
+        let mut agent = agent_with_backend(A, now);
+        let mut out = Vec::new();
+        for port in 0..3 * 7 {
+            agent.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+            agent.handle_client_packet(&data(port, 501), hop(BALANCER), &Members::default(), now, &mut out);
+        }
+        agent.handle_client_packet(&syn(100, 0), hop(BALANCER), &Members::default(), now, &mut out);
+        assert!(out.contains(&Effect::Hold { flow: flow(100) }), "{out:?}");
+        out.clear();
+        if queried {
+            agent.handle_query(&data(100, 501), hop(B), now, &mut out);
+        } else {
+            let peers = members(&[B], Stance::Open, now);
+            agent.handle_client_packet(&data(100, 501), hop(BALANCER), &peers, now, &mut out);
+        }
+        assert!(out.contains(&Effect::Discard { flow: flow(100) }), "{out:?}");
+    }
+}
+
 /// The end of the backend server that lost the handshake, or its reset of the half-open flow, says nothing about the
 /// backend server that the client has chosen.
 #[test]
