Report a restart if an agent is stopped before it detects its backend server

An open flow could be reset during a roll of agents although its backend server served it.

An agent that was stopped within the first check of its backend server reported that it leaves. Peers hold a leaving agent for one without flows: they do not query it, and all others deny its flows. It now reports a restart, as it does when it knows of a backend server, and peers wait for its next process.

Found by reading (resets on the word of an agent that does not know); not seen in a log. an_agent_stopped_before_it_ detects_its_backend_server_must_not_deny_its_flows fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -248,7 +248,7 @@
     /// Stance for the reports: which flows this agent serves.
     pub fn stance(&self, now: Instant) -> Stance {
         match self.backend.phase(now) {
-            Phase::Down if self.stopping => Stance::Leaving,
+            Phase::Down if self.stopping && !self.is_backend_undetected() => Stance::Leaving,
             _ if self.stopping && self.backend.has_announced_exit() => Stance::Leaving,
             _ if self.stopping => Stance::Restarting,
             Phase::Down if self.backend.has_heartbeat() => Stance::Draining,
@@ -444,8 +444,13 @@
     /// so, unless its address has refused a connection.
     fn accepts_new_flows(&self, now: Instant) -> bool {
         let phase = self.backend.phase(now);
-        let undetected = !self.backend.has_heartbeat() && phase == Phase::Down && !self.backend.is_absent();
-        !self.stopping && (phase == Phase::Ready || undetected)
+        !self.stopping && (phase == Phase::Ready || self.is_backend_undetected())
+    }
+
+    /// Whether it is unknown if there is a backend server: it has sent no heartbeat to this process, and its address has
+    /// neither accepted nor refused a connection.
+    fn is_backend_undetected(&self) -> bool {
+        !self.backend.has_heartbeat() && self.backend.is_down() && !self.backend.is_absent()
     }
 
     /// Whether the route of a flow leads to this agent's service. A sender with newer routes, of the given version, is
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -935,3 +935,19 @@
     );
     assert!(out.contains(&Effect::Deliver), "{out:?}");
 }
+
+/// An agent that is stopped before it has detected its backend server cannot say that there are no flows.
+#[test]
+fn an_agent_stopped_before_it_detects_its_backend_server_must_not_deny_its_flows() {
+    let now = Instant::now();
+    let mut owner = agent_started_at(A, now, STARTED_MS + 60_000);
+    owner.stop();
+    let mut peers = members(&[A, C], Stance::Open, now);
+    peers.record_report(A, agent_report(9, 1, owner.stance(now)), now);
+    let mut agent = agent_with_backend(B, now);
+    agent.mark_announced();
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
+    agent.handle_note(C, Note::Deny(flow(1)), now, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
