Check by the number of a heartbeat that a backend server is not older than its agent

An open flow could be reset after a roll of agents on a VM whose clock had been set back.

A restarted agent knows all flows of its backend server only if that has started with it or later; otherwise it asks the backend server itself before it denies a flow. It compared two readings of the VM's clock for that. With the clock set back in between, an older backend server seems younger, and the agent denies flows that it has not seen.

The number of the heartbeat counts the heartbeats since the start; the backend server must not have sent them for longer than the agent's process runs.

Found by reading (clock steps are among the faults of these deployments); not seen in a log. a_clock_set_back_must_not_ make_a_restarted_agent_deny_flows fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -32,8 +32,8 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 /// Age of an agent at which its table holds all flows of a backend server that started earlier. No flow lives longer.
 const TABLE_COMPLETE_AFTER: Duration = Duration::from_secs(75);
-/// Maximum clock difference between two starts on one VM that count as simultaneous.
-const CLOCK_TOLERANCE_MS: u64 = 500;
+/// Maximum time between two starts on one VM that count as simultaneous.
+const SIMULTANEOUS_START: Duration = Duration::from_millis(500);
 /// Time until peers know an announced agent and query it when they search for one of its flows.
 const JOIN_DELAY: Duration = Duration::from_millis(600);
 /// Time after which an agent that could not be announced, because the store is down, relies on its greetings alone.
@@ -299,9 +299,16 @@
             return outcome;
         }
         if first {
-            // A backend server that started with this process or later has opened no flow unseen by it.
-            let started_with = |started_ms| started_ms + CLOCK_TOLERANCE_MS >= self.started_ms;
-            self.table_complete = heartbeat.started_ms.is_some_and(started_with);
+            // A backend server that started with this process or later has opened no flow unseen by it. The clock may
+            // have been set since, so the backend server must not have sent heartbeats for longer than this process
+            // runs either.
+            let by_clock = |started_ms| Duration::from_millis(started_ms) + SIMULTANEOUS_START;
+            let started_with = heartbeat
+                .started_ms
+                .is_some_and(|started_ms| by_clock(started_ms) >= Duration::from_millis(self.started_ms));
+            let running_for = now.saturating_duration_since(self.started_at);
+            self.table_complete =
+                started_with && self.backend.heartbeating_for(heartbeat) <= running_for + SIMULTANEOUS_START;
             if self.table_complete {
                 self.table.remove_where(|entry| entry.state == State::Restored);
             }
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -105,6 +105,12 @@
         self.heartbeat_interval * MAX_MISSED_HEARTBEATS
     }
 
+    /// Time between the first heartbeat of a lifetime and this one, as its number tells.
+    pub fn heartbeating_for(&self, heartbeat: &Heartbeat) -> Duration {
+        let earlier = u32::try_from(heartbeat.number.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.heartbeat_interval.saturating_mul(earlier)
+    }
+
     /// Handles a heartbeat.
     pub fn handle_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> Outcome {
         let outcome = self.compare(heartbeat, now);
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -951,3 +951,15 @@
     agent.handle_note(C, Note::Deny(flow(1)), now, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// The clock was set back between the start of the backend server and the restart of its agent, so that the agent seems
+/// to be older. The number of the heartbeat tells that it is not.
+#[test]
+fn a_clock_set_back_must_not_make_a_restarted_agent_deny_flows() {
+    let now = Instant::now();
+    let mut agent = agent_started_at(A, now, STARTED_MS - 2_400);
+    let mut out = Vec::new();
+    agent.handle_heartbeat(&heartbeat(1, 3, false), now + 100 * MS, &mut out);
+    agent.handle_query(&data(1, 501), hop(B), now + 200 * MS, &mut out);
+    assert_eq!(out, [Effect::Deliver], "the backend server must be probed");
+}
