Keep a half-closed flow until both ends have closed it

An open flow could be reset 3 s after its backend server had closed its own direction.

An agent treated a flow as closed after the FIN of the backend server and forgot it 3 s later. A packet of the client that came after that, because its FIN or the acknowledgment before it was lost, belonged to no flow: all agents denied it, and it was reset while the backend server still held the flow. An entry is now closed when both ends have sent a FIN, or one a reset.

Found by reading; not seen in a log. a_half_closed_flow_is_kept fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -44,7 +44,7 @@
     Open,
     /// A peer's pointer says that the backend server holds the flow. This process has not seen a packet of it.
     Restored,
-    /// One end has closed or reset the flow.
+    /// Both ends have closed the flow, or one has reset it.
     Closed,
 }
 
@@ -69,6 +69,10 @@
     pub homes: [Option<Ipv4Addr>; HOMES],
     /// Request in progress.
     request: Option<Request>,
+    /// Whether the client has sent a FIN.
+    client_finished: bool,
+    /// Whether the backend server has sent a FIN.
+    backend_finished: bool,
     /// Sequence number after the last byte that the client has sent. A retransmission does not exceed it.
     client_end: Option<u32>,
     expires_at: Instant,
@@ -96,6 +100,11 @@
 }
 
 impl Entry {
+    /// Whether both ends have sent a FIN.
+    fn is_finished(&self) -> bool {
+        self.client_finished && self.backend_finished
+    }
+
     /// Whether a packet of the client acknowledges the SYN+ACK of the backend server. Each backend server starts at a
     /// random sequence number, so this tells with which of several ones the client opens the flow.
     fn is_acknowledged_by(&self, segment: &Segment) -> bool {
@@ -137,6 +146,8 @@
             pointers_due_at: now,
             homes: [None; HOMES],
             request: None,
+            client_finished: false,
+            backend_finished: false,
             client_end: None,
             expires_at: now + lifetime,
         };
@@ -205,7 +216,8 @@
                 failed: false,
             });
         }
-        if segment.flags.contains(Flags::RST) {
+        entry.client_finished |= segment.flags.contains(Flags::FIN);
+        if segment.flags.contains(Flags::RST) || entry.is_finished() {
             self.close(flow, now);
         }
         if opening { Match::Opening } else { Match::Known }
@@ -226,6 +238,8 @@
         }
         let entry = self.flows.get_mut(&flow)?;
         entry.backend_seq = Some(segment.seq);
+        entry.backend_finished |= segment.flags.contains(Flags::FIN);
+        let finished = entry.is_finished();
         // A backend server sends anything but its SYN+ACK only after the client's acknowledgment.
         if entry.state != State::Closed && !handshake {
             entry.state = State::Open;
@@ -240,6 +254,10 @@
         } else {
             None
         };
+        if segment.flags.contains(Flags::FIN) {
+            // A request that has had no response by now gets none.
+            self.busy -= u32::from(entry.request.take().is_some());
+        }
         let elapsed = request.map(|request| now.saturating_duration_since(request.started_at));
         if let (Some(request), Some(elapsed)) = (request, elapsed) {
             self.busy -= 1;
@@ -253,7 +271,7 @@
         if reset && !overloaded && self.flows[&flow].request.is_some() {
             self.failed_ratio += FAILURE_GAIN * (1.0 - self.failed_ratio);
         }
-        if reset || segment.flags.contains(Flags::FIN) {
+        if reset || finished {
             self.close(flow, now);
         }
         elapsed
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -963,3 +963,25 @@
     agent.handle_query(&data(1, 501), hop(B), now + 200 * MS, &mut out);
     assert_eq!(out, [Effect::Deliver], "the backend server must be probed");
 }
+
+/// A flow is closed when both ends have sent a FIN. Until then, a client may take longer than late packets do.
+#[test]
+fn a_half_closed_flow_is_kept() {
+    let now = Instant::now();
+    for closed in [false, true] {
+        let mut agent = agent_with_backend(A, now);
+        let mut out = Vec::new();
+        open_flow(&mut agent, 1, 500, now);
+        let with_fin = |segment: Segment| Segment {
+            flags: segment.flags.union(Flags::FIN),
+            ..segment
+        };
+        agent.handle_backend_packet(&with_fin(answer(1, 501, 100)), now + 50 * MS, &mut out);
+        if closed {
+            let fin = with_fin(data(1, 602));
+            agent.handle_client_packet(&fin, hop(BALANCER), &Members::default(), now + 60 * MS, &mut out);
+        }
+        agent.tick(&Members::default(), now + 3_100 * MS, &mut out);
+        assert_eq!(agent.table.get(flow(1)).is_none(), closed);
+    }
+}
