Take a restart in progress from the lists of nodes

An open flow could be reset when rolls overlapped, although its backend server served it.

An agent that is stopped announces its restart, and peers wait for its next process. A process that started after the announcement did not know of it: it knew the restarting agent from a list only, held it for unreachable after 1.2 s and counted it as denying the flow. Lists of nodes contain the last reports of others; a listed restart now counts, and a newer listed report of the same process replaces an older one.

Found by reading; not seen in a log. a_listed_agent_that_restarts_is_waited_for fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -74,6 +74,7 @@
         Self {
             ip,
             busy: report.load.busy.into(),
+            restarting_until: restarting_until(&report, now),
             report,
             heard: false,
             pending_placements: 0,
@@ -81,7 +82,15 @@
             suspect_at: now,
             unreachable_at: now + UNREACHABLE_AFTER,
             remove_at: now + REMOVE_AFTER,
-            restarting_until: None,
+        }
+    }
+
+    /// Takes over the state of a process that has not reported itself from a newer entry in a list.
+    fn update_listed(&mut self, listed: Report, now: Instant) {
+        let same_process = self.report.incarnation == listed.incarnation;
+        if !self.heard && same_process && listed.number > self.report.number {
+            self.restarting_until = restarting_until(&listed, now);
+            self.report = listed;
         }
     }
 
@@ -143,6 +152,11 @@
     }
 }
 
+/// Until when a node may be restarting, if it reports a restart.
+fn restarting_until(report: &Report, now: Instant) -> Option<Instant> {
+    (report.stance == Stance::Restarting).then(|| now + RESTART_TIMEOUT)
+}
+
 impl Members {
     /// Records a report of a node.
     pub fn record_report(&mut self, ip: Ipv4Addr, report: Report, now: Instant) -> Change {
@@ -169,7 +183,7 @@
         if change != Change::Load {
             self.generation += 1;
         }
-        known.restarting_until = (report.stance == Stance::Restarting).then(|| now + RESTART_TIMEOUT);
+        known.restarting_until = restarting_until(&report, now);
         known.pending_placements = 0;
         let busy = f64::from(report.load.busy);
         let gain = if matches!(change, Change::New { .. }) {
@@ -190,6 +204,7 @@
         for (ip, report) in listed {
             if let Some(known) = self.nodes.get_mut(&ip) {
                 known.remove_at = known.remove_at.max(now + REMOVE_AFTER);
+                known.update_listed(report, now);
                 continue;
             }
             self.nodes.insert(ip, Member::new(ip, report, now));
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -985,3 +985,22 @@
         assert_eq!(agent.table.get(flow(1)).is_none(), closed);
     }
 }
+
+/// A process that starts while a peer restarts has not received the announcement of that restart. The lists of other
+/// nodes contain it.
+#[test]
+fn a_listed_agent_that_restarts_is_waited_for() {
+    let start = Instant::now();
+    let now = start + 1_250 * MS;
+    let mut agent = agent_with_backend(B, start);
+    agent.mark_announced();
+    let mut peers = members(&[C], Stance::Open, start);
+    peers.add_listed([(A, agent_report(1, 1, Stance::Joining))], start);
+    peers.add_listed([(A, agent_report(1, 40, Stance::Restarting))], start + 10 * MS);
+    peers.record_report(C, agent_report(1, 2, Stance::Open), now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
+    agent.handle_note(C, Note::Deny(flow(1)), now, &mut out);
+    agent.tick(&peers, now + 60 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
