End only the flows that a refused connection concerns

Cause: a refused check was taken for the end of every flow at the agent, whichever lifetime it belonged to. A backend server that restarted and answered packets before its port was open lost the flows of its new lifetime. The check ran although packets were being answered, because heartbeats were overdue.

The agent now records when its backend server was last seen, by a heartbeat or a packet. A refused check that began before that proves nothing. If packets came after a pause in which the backend server may have restarted, and no heartbeat or accepted connection since, a refused check ends only the flows from before the pause; the later ones end after 1.5 s without a packet. Without such a pause a crash still ends all flows at once. A draining backend server with a closed port keeps its flows as long as it sends packets or heartbeats, and one that sends packets is not reported as absent. Checks follow a refused one after 100 ms instead of 500 ms.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -37,6 +37,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval between checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between checks after a refused one, so that the flows of a backend server that has ended are reset soon.
+const CLOSED_PORT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between checks until the backend server is up.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Ticks for which an agent keeps serving after a stop request, so that short requests finish before the process exits.
@@ -316,23 +318,39 @@
         if due {
             let connect = TcpStream::connect(backend.address);
             let answer = time::timeout_at(now + CHECK_TIMEOUT, connect).await;
-            handle_check_result(&node, answer.map(|answer| answer.map(drop)));
+            handle_check_result(&node, now, answer.map(|answer| answer.map(drop)));
         }
         if heard || phase == Phase::Ready {
             interval = CHECK_INTERVAL;
         }
-        time::sleep_until(Instant::now() + interval).await;
+        let next = if refuses_connections(&node) {
+            CLOSED_PORT_CHECK_INTERVAL
+        } else {
+            interval
+        };
+        time::sleep_until(Instant::now() + next).await;
     }
 }
 
-fn handle_check_result(node: &Rc<Node>, answer: Option<io::Result<()>>) {
+fn refuses_connections(node: &Node) -> bool {
+    match &*node.state.borrow() {
+        State::Agent(agent) => agent.backend.refuses_connections(),
+        State::Balancer(_) => false,
+    }
+}
+
+/// Handles the result of a check that began at `checked_at`.
+fn handle_check_result(node: &Rc<Node>, checked_at: Instant, answer: Option<io::Result<()>>) {
     let now = Instant::now();
     let before = node.life(now);
     update_agent(node, &[], |agent, _, out| match answer {
         Some(Ok(())) => agent.backend.handle_connection_accepted(now),
         Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            if agent.handle_connection_refused(now, out) {
-                log::warn!(event = "backend.refused"; "backend server refuses connections and has ended");
+            if agent.handle_connection_refused(checked_at, out) {
+                log::warn!(
+                    event = "backend.refused", flows = agent.table.open_flows();
+                    "backend server refuses connections and its lifetime has ended"
+                );
             }
         }
         // A timeout or another error is inconclusive: a slow backend server is still covered by its heartbeats.
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -12,7 +12,7 @@
 
 use crate::state::steering::{
     admission::{self, Queue, Syn, Work},
-    backend::{Backend, Heartbeat, Outcome, Phase},
+    backend::{Backend, Heartbeat, Outcome, Phase, Refusal},
     evidence::{Evidence, Holding},
     member::Members,
     placement::{self, Candidate},
@@ -321,14 +321,15 @@
         outcome
     }
 
-    /// Handles a refused connection to the backend server's address. Returns whether the backend server has exited, and
-    /// its flows with it.
-    pub fn handle_connection_refused(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
-        let ended = self.backend.handle_connection_refused(now);
-        if ended {
-            self.close_flows(|_entry| true, out);
+    /// Handles a refused connection to the backend server's address, by a check that began at `checked_at`. Returns
+    /// whether a lifetime of the backend server has ended, and its flows with it.
+    pub fn handle_connection_refused(&mut self, checked_at: Instant, out: &mut Vec<Effect>) -> bool {
+        match self.backend.handle_connection_refused(checked_at) {
+            Refusal::Inconclusive => return false,
+            Refusal::EndedUntil(restart_at) => self.close_flows(|entry| entry.opened_at <= restart_at, out),
+            Refusal::Exited => self.close_flows(|_entry| true, out),
         }
-        ended
+        true
     }
 
     fn close_flows(&mut self, predicate: impl Fn(&Entry) -> bool, out: &mut Vec<Effect>) {
@@ -634,6 +635,7 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
+        self.backend.handle_packet(now);
         let flow = segment.flow_from_client();
         let entry = self.table.get(flow).copied();
         if segment.is_initial_syn() {
@@ -662,6 +664,7 @@
 
     /// Handles a packet from the backend server to a client.
     pub fn handle_backend_packet(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
+        self.backend.handle_packet(now);
         let flow = segment.flow_from_backend();
         let requesters = self.probes.take_requesters(flow);
         let unopened = self.table.get(flow).is_none_or(|entry| entry.state == State::Opening);
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -12,8 +12,10 @@
 
 /// Time between the exit notice of a backend server and its exit.
 const EXIT_DELAY: Duration = Duration::from_millis(200);
-/// Maximum time that a draining backend server serves its flows after closing its port.
+/// Maximum time that a backend server serves flows while its port is closed, before its exit or after its start.
 const MAX_CLOSED_PORT_TIME: Duration = Duration::from_millis(1_500);
+/// Minimum time between the last packet of a lifetime and the first one of the next.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
 /// Slots assumed for a backend server that accepts connections but has not sent a heartbeat yet.
 const ASSUMED_SLOTS: u32 = 4;
 
@@ -59,6 +61,18 @@
     Stale,
 }
 
+/// What a refused connection to the backend server's address proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The backend server may still serve all of its flows.
+    Inconclusive,
+    /// The current lifetime has ended. Flows that were opened after the given time may belong to a new lifetime, which
+    /// has not opened its port yet.
+    EndedUntil(Instant),
+    /// The backend server has exited.
+    Exited,
+}
+
 /// Backend server of an agent.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -67,8 +81,14 @@
     phase: Phase,
     /// When a backend server that has sent an exit notice is expected to have exited.
     exits_at: Option<Instant>,
-    /// From when on refused connections mean that a draining backend server has exited without a notice.
+    /// From when on refused connections mean that the backend server has exited without a notice, although it may have
+    /// served flows with a closed port.
     refusals_mean_exit_at: Option<Instant>,
+    /// Time of the last heartbeat or packet of the backend server.
+    last_seen_at: Option<Instant>,
+    /// When the first silence began after which the backend server sent packets, but nothing that tells its lifetime.
+    /// It may have restarted in that time.
+    may_have_restarted_at: Option<Instant>,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// When the backend server reaches its full speed.
@@ -93,6 +113,8 @@
             phase: Phase::Down,
             exits_at: None,
             refusals_mean_exit_at: None,
+            last_seen_at: None,
+            may_have_restarted_at: None,
             slots: 0,
             warm_at: now,
             heartbeat_due_at: now,
@@ -125,8 +147,10 @@
         });
         if outcome == Outcome::Started {
             self.exits_at = None;
-            self.refusals_mean_exit_at = None;
         }
+        self.refusals_mean_exit_at = None;
+        self.last_seen_at = Some(now);
+        self.may_have_restarted_at = None;
         // A drain is never revoked within a lifetime.
         let was_draining = outcome == Outcome::Continued && self.phase == Phase::Draining;
         self.phase = if heartbeat.draining || was_draining {
@@ -162,6 +186,7 @@
     /// backend server is up; the heartbeat will tell the details.
     pub fn handle_connection_accepted(&mut self, now: Instant) {
         self.refusals_mean_exit_at = None;
+        self.may_have_restarted_at = None;
         if self.lifetime.is_none() && self.phase == Phase::Down {
             self.phase = Phase::Ready;
             self.slots = ASSUMED_SLOTS;
@@ -193,25 +218,60 @@
         self.exits_at.is_some()
     }
 
-    /// Handles a refused connection to the backend server's address. Returns whether the backend server has exited. A
-    /// draining one closes its port shortly before it exits, and serves its flows meanwhile.
-    pub fn handle_connection_refused(&mut self, now: Instant) -> bool {
-        let refusals_mean_exit_at = *self.refusals_mean_exit_at.get_or_insert(now + MAX_CLOSED_PORT_TIME);
-        let ended = match self.phase {
-            Phase::Ready => true,
-            Phase::Draining => now >= self.exits_at.unwrap_or(refusals_mean_exit_at),
-            Phase::Down => false,
+    /// Handles a packet of the backend server, which proves that it lives.
+    pub fn handle_packet(&mut self, now: Instant) {
+        if let Some(last_seen_at) = self.last_seen_at
+            && now >= last_seen_at + MIN_RESTART_TIME
+        {
+            self.may_have_restarted_at.get_or_insert(last_seen_at);
+        }
+        self.last_seen_at = Some(now);
+        if self.phase == Phase::Down {
+            self.refusals_mean_exit_at = None;
+        }
+    }
+
+    /// Handles a refused connection to the backend server's address, by a check that began at `checked_at`. A draining
+    /// backend server closes its port shortly before it exits, and one that has just started may open it late; both
+    /// serve flows meanwhile.
+    pub fn handle_connection_refused(&mut self, checked_at: Instant) -> Refusal {
+        if self.last_seen_at.is_some_and(|last_seen_at| last_seen_at > checked_at) {
+            return Refusal::Inconclusive;
+        }
+        let is_first = self.refusals_mean_exit_at.is_none();
+        let refusals_mean_exit_at = *self
+            .refusals_mean_exit_at
+            .get_or_insert(checked_at + MAX_CLOSED_PORT_TIME);
+        let is_due = |due_at: Instant, max_silence: Duration| {
+            let silent_at = self.last_seen_at.map(|seen_at| seen_at + max_silence);
+            checked_at >= due_at && silent_at.is_none_or(|silent_at| checked_at >= silent_at)
         };
-        if ended {
+        let unannounced_exit = is_due(refusals_mean_exit_at, MAX_CLOSED_PORT_TIME);
+        let announced_exit = self.exits_at.map(|exits_at| is_due(exits_at, EXIT_DELAY));
+        let refusal = match (self.phase, self.may_have_restarted_at) {
+            (Phase::Ready, Some(restart_at)) if !unannounced_exit && is_first => Refusal::EndedUntil(restart_at),
+            (Phase::Ready, Some(_)) if !unannounced_exit => Refusal::Inconclusive,
+            (Phase::Ready, _) => Refusal::Exited,
+            (Phase::Draining, _) if announced_exit.unwrap_or(unannounced_exit) => Refusal::Exited,
+            (Phase::Draining | Phase::Down, _) => Refusal::Inconclusive,
+        };
+        if refusal == Refusal::Exited {
             self.phase = Phase::Down;
         }
-        ended
+        refusal
+    }
+
+    /// Whether the backend server's address refused the last connection, and nothing has shown since that its port is
+    /// open.
+    pub fn refuses_connections(&self) -> bool {
+        self.refusals_mean_exit_at.is_some()
     }
 
-    /// Phase at a given time. A backend server that misses heartbeats gets no new flows but keeps its open ones.
+    /// Phase at a given time. A backend server that misses heartbeats or refuses connections gets no new flows but keeps
+    /// its open ones.
     pub fn phase(&self, now: Instant) -> Phase {
         match self.phase {
-            Phase::Ready if now >= self.heartbeat_due_at => Phase::Draining,
+            Phase::Ready if now >= self.heartbeat_due_at || self.refuses_connections() => Phase::Draining,
             phase => phase,
         }
     }
@@ -222,9 +282,9 @@
     }
 
     /// Whether there is no backend server: it has exited, or its address has refused connections since the agent
-    /// started.
+    /// started. It has sent no packet since then.
     pub fn is_absent(&self) -> bool {
-        self.phase == Phase::Down && self.refusals_mean_exit_at.is_some()
+        self.phase == Phase::Down && self.refuses_connections()
     }
 
     /// Whether a heartbeat has been accepted.
--- /dev/null
+++ b/crates/dogwoodpitch/tests/steering/lifetime.rs
@@ -0,0 +1,146 @@
+//! Evidence of the end of a backend server must only end the flows of the lifetime that it concerns.
+
+use std::time::Instant;
+
+use dogwoodpitch::state::steering::{
+    agent::{Agent, Effect},
+    backend::Phase,
+    member::Members,
+    segment::Flags,
+};
+
+use crate::{
+    MS,
+    build::{self, A, B, BALANCER, agent, agent_with_backend, answer, data, flow, from_backend, heartbeat, hop, syn},
+    resets,
+};
+
+/// A client opens a flow with the backend server.
+fn open_flow(agent: &mut Agent, port: u16, now: Instant) {
+    let mut out = Vec::new();
+    agent.handle_client_packet(&syn(port, 0), hop(BALANCER), &Members::default(), now, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+    build::open_flow(agent, port, 500, now + MS);
+}
+
+fn is_held(agent: &Agent, port: u16) -> bool {
+    agent.table.get(flow(port)).is_some()
+}
+
+/// A backend server restarted, answered SYNs and opened its port 300 ms later. A check in that time was refused, and
+/// the agent reset the flows of the new lifetime as well (soak, seed 3).
+#[test]
+fn a_refused_check_must_not_end_flows_of_a_lifetime_that_has_not_opened_its_port() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    open_flow(&mut agent, 1, now + 100 * MS);
+    open_flow(&mut agent, 2, now + 700 * MS);
+    let mut out = Vec::new();
+    agent.handle_connection_refused(now + 710 * MS, &mut out);
+    assert_eq!(resets(&out), 1, "{out:?}");
+    assert!(is_held(&agent, 2) && !is_held(&agent, 1));
+    assert_eq!(agent.backend.phase(now + 710 * MS), Phase::Draining);
+    out.clear();
+    agent.handle_connection_refused(now + 810 * MS, &mut out);
+    agent.handle_heartbeat(&heartbeat(2, 1, false), now + 1_000 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+    assert_eq!(agent.backend.phase(now + 1_000 * MS), Phase::Ready);
+    // The port is open by now, so that the next refused connection is proof of a crash.
+    agent.handle_connection_refused(now + 1_100 * MS, &mut out);
+    assert_eq!(resets(&out), 1, "{out:?}");
+}
+
+/// A new lifetime that crashes before it has opened its port sends no heartbeat. Its clients must not wait for their
+/// deadline.
+#[test]
+fn a_crash_before_the_port_is_open_ends_the_flows_soon() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    open_flow(&mut agent, 1, now + 100 * MS);
+    open_flow(&mut agent, 2, now + 700 * MS);
+    let mut out = Vec::new();
+    for check in 7..=23 {
+        agent.handle_connection_refused(now + check * 100 * MS, &mut out);
+    }
+    assert_eq!(resets(&out), 2, "{out:?}");
+    assert_eq!(agent.backend.phase(now + 2_300 * MS), Phase::Down);
+}
+
+/// A check may begin before a new lifetime is heard and its result be handled later, for example if the process was
+/// paused meanwhile. A heartbeat or packet since then proves that the backend server lives.
+#[test]
+fn a_refused_check_must_not_end_a_lifetime_heard_since_it_began() {
+    let now = Instant::now();
+    for by_heartbeat in [true, false] {
+        let mut agent = agent_with_backend(A, now);
+        open_flow(&mut agent, 1, now);
+        let mut out = Vec::new();
+        if by_heartbeat {
+            agent.handle_heartbeat(&heartbeat(1, 2, false), now + 150 * MS, &mut out);
+        } else {
+            agent.handle_backend_packet(&answer(1, 501, 100), now + 150 * MS, &mut out);
+        }
+        assert!(!agent.handle_connection_refused(now + 100 * MS, &mut out));
+        assert_eq!(resets(&out), 0, "{out:?}");
+        assert!(agent.handle_connection_refused(now + 160 * MS, &mut out));
+        assert_eq!(resets(&out), 1, "{out:?}");
+    }
+}
+
+/// A draining backend server may serve its flows with a closed port for longer than the time after which refused
+/// connections mean its exit. Its packets and heartbeats prove that it lives.
+#[test]
+fn a_draining_backend_server_that_sends_packets_keeps_its_flows() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    open_flow(&mut agent, 1, now);
+    let mut out = Vec::new();
+    agent.handle_heartbeat(&heartbeat(1, 2, true), now + 10 * MS, &mut out);
+    for step in 1..=30 {
+        let at = now + step * 100 * MS;
+        agent.handle_backend_packet(&answer(1, 501, 100), at, &mut out);
+        assert!(!agent.handle_connection_refused(at + 10 * MS, &mut out), "step {step}");
+    }
+    // It announces its exit and answers for 100 ms longer than announced.
+    assert!(
+        agent
+            .backend
+            .handle_exit_notice(&heartbeat(1, 2, true).id, now + 3_000 * MS)
+    );
+    agent.handle_backend_packet(&answer(1, 501, 100), now + 3_300 * MS, &mut out);
+    assert!(!agent.handle_connection_refused(now + 3_310 * MS, &mut out));
+    assert_eq!(resets(&out), 0, "{out:?}");
+    assert!(agent.handle_connection_refused(now + 3_510 * MS, &mut out));
+    assert_eq!(resets(&out), 1, "{out:?}");
+}
+
+/// Packets that a new lifetime returns show that it serves, and are no proof against the end of the earlier one.
+#[test]
+fn returned_packets_of_a_new_lifetime_do_not_keep_flows_of_the_earlier_one() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    for port in 1..=3 {
+        open_flow(&mut agent, port, now + 100 * MS);
+    }
+    let mut returned = data(1, 501);
+    returned.flags = returned.flags.union(Flags::RETURNED);
+    let mut out = Vec::new();
+    agent.handle_returned_packet(&returned, &Members::default(), now + 700 * MS, &mut out);
+    assert_eq!(resets(&out), 1, "{out:?}");
+    assert!(agent.handle_connection_refused(now + 710 * MS, &mut out));
+    assert_eq!(resets(&out), 3, "{out:?}");
+}
+
+/// An agent that restarts beside a backend server that has not opened its port yet must not deny the flows that the
+/// backend server holds. A packet shows that it is there.
+#[test]
+fn a_backend_server_with_a_closed_port_that_sends_packets_is_not_absent() {
+    let now = Instant::now();
+    let mut restarted = agent(A, now);
+    let mut out = Vec::new();
+    restarted.handle_connection_refused(now, &mut out);
+    restarted.handle_backend_packet(&from_backend(1, 500), now + 50 * MS, &mut out);
+    out.clear();
+    restarted.handle_query(&data(2, 501), hop(B), now + 60 * MS, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+}
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod build;
 mod fuzz;
+mod lifetime;
 mod load;
 
 use std::{
