Keep flows opened since the last heartbeat of the previous lifetime

A first heartbeat of a new lifetime that came later than three intervals reset flows of that lifetime: the agent took every flow older than three intervals for one of the previous lifetime. Heartbeats can be lost or late, and flows that were opened after the last heartbeat of the previous lifetime may belong to the new one. They are now kept; if they were of the previous lifetime, the backend server returns their packets and they are reset then.

The new unit test failed before and passes.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -293,34 +293,38 @@
 
     /// Handles a heartbeat of the backend server. A new lifetime holds no flow of the previous one.
     pub fn handle_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant, out: &mut Vec<Effect>) -> Outcome {
-        let first = !self.backend.has_heartbeat();
+        let last_heartbeat_at = self.backend.last_heartbeat_at();
         let outcome = self.backend.handle_heartbeat(heartbeat, now);
         if outcome != Outcome::Started {
             return outcome;
         }
-        if first {
-            // A backend server that started with this process or later has opened no flow unseen by it. The clock may
-            // have been set since, so the backend server must not have sent heartbeats for longer than this process
-            // runs either.
-            let by_clock = |started_ms| Duration::from_millis(started_ms) + SIMULTANEOUS_START;
-            let started_with = heartbeat
-                .started_ms
-                .is_some_and(|started_ms| by_clock(started_ms) >= Duration::from_millis(self.started_ms));
-            let running_for = now.saturating_duration_since(self.started_at);
-            self.table_complete =
-                started_with && self.backend.heartbeating_for(heartbeat) <= running_for + SIMULTANEOUS_START;
+        if let Some(last_heartbeat_at) = last_heartbeat_at {
+            self.table_complete = true;
+            // The most recent flows, and any since the last heartbeat of the previous lifetime, may belong to the new
+            // one. If not, the backend server returns their packets.
+            let recent = now.checked_sub(self.backend.max_first_heartbeat_delay()).unwrap_or(now);
+            self.close_flows(|entry| entry.opened_at <= recent.min(last_heartbeat_at), out);
+        } else {
+            self.table_complete = self.has_seen_all_flows(heartbeat, now);
             if self.table_complete {
                 self.table.remove_where(|entry| entry.state == State::Restored);
             }
-        } else {
-            self.table_complete = true;
-            // The most recent flows may belong to the new lifetime. If not, the backend server returns their packets.
-            let opened_before = now.checked_sub(self.backend.max_first_heartbeat_delay()).unwrap_or(now);
-            self.close_flows(|entry| entry.opened_at < opened_before, out);
         }
         outcome
     }
 
+    /// Whether a backend server that is heard for the first time has started with this process or later, and thus has
+    /// opened no flow unseen by it. The clock may have been set in between, so its heartbeats must not have begun before
+    /// this process either.
+    fn has_seen_all_flows(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let running_for = now.saturating_duration_since(self.started_at);
+        let started_with = |backend_ms| {
+            Duration::from_millis(backend_ms) + SIMULTANEOUS_START >= Duration::from_millis(self.started_ms)
+        };
+        heartbeat.started_ms.is_some_and(started_with)
+            && self.backend.heartbeating_for(heartbeat) <= running_for + SIMULTANEOUS_START
+    }
+
     /// Handles a refused connection to the backend server's address, by a check that began at `checked_at`. Returns
     /// whether a lifetime of the backend server has ended, and its flows with it.
     pub fn handle_connection_refused(&mut self, checked_at: Instant, out: &mut Vec<Effect>) -> bool {
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -287,6 +287,11 @@
         self.phase == Phase::Down && self.refuses_connections()
     }
 
+    /// Time of the last heartbeat of the current lifetime.
+    pub fn last_heartbeat_at(&self) -> Option<Instant> {
+        self.lifetime.as_ref().map(|lifetime| lifetime.last_heartbeat_at)
+    }
+
     /// Whether a heartbeat has been accepted.
     pub fn has_heartbeat(&self) -> bool {
         self.lifetime.is_some()
--- a/crates/dogwoodpitch/tests/steering/lifetime.rs
+++ b/crates/dogwoodpitch/tests/steering/lifetime.rs
@@ -4,7 +4,7 @@
 
 use dogwoodpitch::state::steering::{
     agent::{Agent, Effect},
-    backend::Phase,
+    backend::{Outcome, Phase},
     member::Members,
     segment::Flags,
 };
@@ -131,6 +131,20 @@
     assert_eq!(resets(&out), 3, "{out:?}");
 }
 
+/// The first heartbeats of a new lifetime may be lost. Flows that were opened after the last heartbeat of the earlier
+/// lifetime may belong to the new one, however late its first heartbeat is.
+#[test]
+fn a_late_first_heartbeat_must_not_end_flows_of_its_own_lifetime() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    open_flow(&mut agent, 1, now);
+    open_flow(&mut agent, 2, now + 700 * MS);
+    let mut out = Vec::new();
+    let outcome = agent.handle_heartbeat(&heartbeat(2, 9, false), now + 5_000 * MS, &mut out);
+    assert_eq!((outcome, resets(&out)), (Outcome::Started, 1), "{out:?}");
+    assert!(is_held(&agent, 2) && !is_held(&agent, 1));
+}
+
 /// An agent that restarts beside a backend server that has not opened its port yet must not deny the flows that the
 /// backend server holds. A packet shows that it is there.
 #[test]
