Query all services of a route for the owner of a flow

An open flow could be reset after its route had been moved to another service, or beside a canary, although its backend server served it.

A balancer without an entry for the flow sends the packet to an agent of the service that the newest routes name. That agent queried the agents of its own service only. The owner serves the former service, or another share of the route, and was not asked. Agents now query the agents of all services to which the route leads or has led since they started.

An agent that starts after the change does not know the former service; that case is open.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddrV4},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -200,6 +200,8 @@
     pub table: Table,
     /// Routes in force.
     pub routes: Rc<Routes>,
+    /// Services to which each route leads or has led since this process started. Their agents may hold open flows of it.
+    route_services: HashMap<SocketAddrV4, BTreeSet<Bytes>>,
     pointers: Pointers,
     searches: Searches,
     queue: Queue,
@@ -236,6 +238,7 @@
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
             routes: Rc::default(),
+            route_services: HashMap::new(),
             pointers: Pointers::default(),
             searches: Searches::default(),
             queue: Queue::default(),
@@ -554,7 +557,7 @@
         true
     }
 
-    /// Starts a search for the owner of a flow by querying all peers. It ends at once if there is none to query.
+    /// Starts a search for the owner of a flow by querying all agents of the route's services. It ends at once if there is none to query.
     fn start_search(
         &mut self,
         segment: &Segment,
@@ -564,7 +567,12 @@
         out: &mut Vec<Effect>,
     ) {
         let flow = segment.flow_from_client();
-        let mut queried: BTreeSet<_> = members.holders(&self.service, now).map(|member| member.ip).collect();
+        let route_services = self.route_services.get(&flow.service).into_iter().flatten();
+        let services = route_services.chain([&self.service]);
+        let mut queried: BTreeSet<_> = services
+            .flat_map(|service| members.holders(service, now))
+            .map(|member| member.ip)
+            .collect();
         let probes_local = self.needs_probe();
         if probes_local {
             queried.insert(self.ip);
@@ -820,6 +828,12 @@
             self.table.remove(flow);
             reset(out, flow, seq, Evidence::RouteRemoved);
         }
+        self.route_services
+            .retain(|address, _| self.routes.get(*address).is_some());
+        for (address, route) in &self.routes.routes {
+            let services = route.shares.iter().map(|share| share.service.clone());
+            self.route_services.entry(*address).or_default().extend(services);
+        }
     }
 }
 
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -15,7 +15,7 @@
 };
 
 use dogwoodpitch::state::steering::{
-    agent::{Effect, Note},
+    agent::{Agent, Effect, Identity, Note},
     backend::Phase,
     balancer::{Balancer, Decision},
     discovery::{self, Message},
@@ -1005,3 +1005,31 @@
     agent.tick(&peers, now + 60 * MS, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// An operator moves a route to another service. Open flows stay with the agents of the former service, but a balancer
+/// that does not know their agents sends their packets to the new ones.
+#[test]
+fn a_route_that_moves_to_another_service_must_not_reset_its_open_flows() {
+    let now = Instant::now();
+    let mut moved = (*routes(2)).clone();
+    moved.routes.get_mut(&SERVICE).unwrap().shares[0].service = "other".into();
+    let moved = Rc::new(moved);
+    let mut agent = Agent::new(
+        Identity {
+            ip: B,
+            data_centre: "east".into(),
+            service: "other".into(),
+            started_ms: STARTED_MS,
+        },
+        770 * MS,
+        now,
+    );
+    let mut out = Vec::new();
+    agent.set_routes(routes(1), &mut out);
+    agent.set_routes(moved, &mut out);
+    agent.handle_heartbeat(&heartbeat(1, 1, false), now, &mut out);
+    agent.mark_announced();
+    let peers = members(&[A], Stance::Open, now);
+    agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
