Drop a returned SYN that has waited instead of forwarding it

A client could get a reset for an open flow from an agent that refused an old SYN of it.

A SYN may wait at an agent for nearly 200 ms. If the backend server returned it then, it was forwarded, could wait at further agents, and was reset by the last one, because it is the first copy. The client has sent the next copy meanwhile and may have opened the flow with it. (An open flow is safe from it only because sequence number 0 is mostly far from the client's acknowledgment.)

a_returned_syn_that_has_waited_is_dropped fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -444,8 +444,7 @@
         out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
         while open && let Some(syn) = self.queue.next(self.work(now)) {
             let flow = syn.flow;
-            let balancer = Some(syn.balancer);
-            if self.table.insert(flow, State::Opening, syn.hops, balancer, now) {
+            if self.table.insert_waited(&syn, now) {
                 self.searches.record_owner(flow);
                 out.push(Effect::Release { flow });
                 send_note(out, syn.balancer, Note::Learn(flow));
@@ -657,6 +656,11 @@
             }
             self.table.remove(flow);
             self.backend_full_until = now + FULL_BACKOFF;
+            if segment.ack == 0 && entry.is_some_and(|entry| entry.waited) {
+                // The client's copy is due. It may be accepted while this SYN is forwarded and finally reset.
+                log(out, flow, "drop: waiting SYN was returned");
+                return;
+            }
             self.redirect_syn(segment, Origin::of(entry), members, now, out);
             return;
         }
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::state::steering::{
+    admission::Syn,
     rank::HOMES,
     segment::{Flags, Flow, Segment},
 };
@@ -61,6 +62,8 @@
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
     pub hops: u8,
+    /// Whether the SYN waited in the queue of this agent.
+    pub waited: bool,
     /// When the flow was added to the table.
     pub opened_at: Instant,
     /// When pointers to this flow must next be sent to all homes.
@@ -142,6 +145,7 @@
             backend_seq: None,
             balancer,
             hops,
+            waited: false,
             opened_at: now,
             pointers_due_at: now,
             homes: [None; HOMES],
@@ -155,6 +159,15 @@
         true
     }
 
+    /// Adds a flow whose SYN has waited in the queue. Returns `false` if the table is full.
+    pub fn insert_waited(&mut self, syn: &Syn, now: Instant) -> bool {
+        let inserted = self.insert(syn.flow, State::Opening, syn.hops, Some(syn.balancer), now);
+        if let Some(entry) = self.flows.get_mut(&syn.flow) {
+            entry.waited = true;
+        }
+        inserted
+    }
+
     /// Removes a flow.
     pub fn remove(&mut self, flow: Flow) -> Option<Entry> {
         let entry = self.flows.remove(&flow)?;
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1033,3 +1033,24 @@
     agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// A SYN waits at several agents in turn. By the time that the last one refuses it, its copy has been accepted.
+#[test]
+fn a_returned_syn_that_has_waited_is_dropped() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    for port in 0..3 * 7 {
+        agent.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+        agent.handle_client_packet(&data(port, 501), hop(BALANCER), &Members::default(), now, &mut out);
+    }
+    agent.handle_client_packet(&syn(100, 0), hop(BALANCER), &Members::default(), now, &mut out);
+    agent.handle_backend_packet(&answer(1, 501, 1_000), now + 180 * MS, &mut out);
+    assert!(out.contains(&Effect::Release { flow: flow(100) }), "{out:?}");
+    let mut returned = syn(100, 0);
+    returned.flags = returned.flags.union(Flags::RETURNED);
+    out.clear();
+    agent.handle_returned_packet(&returned, &members(&[B], Stance::Open, now), now + 190 * MS, &mut out);
+    let leaves = |effect: &Effect| matches!(effect, Effect::Forward { .. } | Effect::Reset { .. });
+    assert!(!out.iter().any(leaves), "{out:?}");
+}
