Take no flow at an agent that its peers may not know if one of them is open

An open flow could be reset after a mass start although its backend server served it.

While most agents start, balancers place flows on joining agents, too. One of them may not be announced, because its calls to the store are slow. An agent that was announced before and has not heard of it finds all peers that it knows denying the flow, and resets it. An agent that is not announced, and whose greetings are still under way, now forwards new flows to an open peer. Without an open peer it takes them, as before.

an_agent_that_is_not_announced_takes_no_flow_from_one_that_is fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -271,6 +271,11 @@
             }
     }
 
+    /// Whether some peers may not know this agent, because it is not announced and its greetings are under way.
+    fn is_unknown_to_peers(&self, now: Instant) -> bool {
+        !self.announced && now < self.joined_at()
+    }
+
     /// Records that other nodes can find this agent in the store, and that it knows all nodes that were announced
     /// before it.
     pub fn mark_announced(&mut self) {
@@ -373,7 +378,11 @@
             return;
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.state != State::Closed);
-        let accepts = self.accepts_new_flows(now) && now >= self.backend_full_until;
+        // A peer that does not know this agent yet could not find the flow.
+        let yields = self.is_unknown_to_peers(now)
+            && hop.hops < MAX_HOPS
+            && members.iter().any(|member| member.is_open(&self.service, now));
+        let accepts = self.accepts_new_flows(now) && now >= self.backend_full_until && !yields;
         if self.queue.remove(flow) {
             out.push(Effect::Discard { flow });
         }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1054,3 +1054,22 @@
     let leaves = |effect: &Effect| matches!(effect, Effect::Forward { .. } | Effect::Reset { .. });
     assert!(!out.iter().any(leaves), "{out:?}");
 }
+
+/// Peers that have announced themselves may not know an agent that has not, and would not query it for its flows.
+#[test]
+fn an_agent_that_is_not_announced_takes_no_flow_from_one_that_is() {
+    let now = Instant::now();
+    for (peer, announced, delivered) in [
+        (Stance::Open, false, false),
+        (Stance::Open, true, true),
+        (Stance::Joining, false, true),
+    ] {
+        let mut agent = agent_with_backend(A, now);
+        if announced {
+            agent.mark_announced();
+        }
+        let mut out = Vec::new();
+        agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &members(&[B], peer, now), now, &mut out);
+        assert_eq!(out.contains(&Effect::Deliver), delivered, "{out:?}");
+    }
+}
