Count a flow to the lifetime of the backend server that answers its SYN

When one lifetime got that SYN and the next one answered a copy, evidence of the end of the first lifetime reset the flow of the second. The time is now that of the SYN+ACK; one with another number sets it anew.

a_flow_belongs_to_the_lifetime_that_answers_its_syn fails before and passes now. In a_late_first_heartbeat_must_not_end_flows_of_its_own_lifetime the first flow was opened at the very time of the last heartbeat, by its SYN; a heartbeat after it keeps the case.

--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -64,7 +64,7 @@
     pub hops: u8,
     /// Whether the SYN waited in the queue of this agent.
     pub waited: bool,
-    /// When the flow was added to the table.
+    /// When the backend server answered the SYN. Before that, when the flow was added to the table.
     pub opened_at: Instant,
     /// When pointers to this flow must next be sent to all homes.
     pub pointers_due_at: Instant,
@@ -250,6 +250,10 @@
             self.insert(flow, State::Opening, 0, None, now);
         }
         let entry = self.flows.get_mut(&flow)?;
+        if entry.state == State::Opening && handshake && entry.backend_seq != Some(segment.seq) {
+            // The SYN may have reached an earlier lifetime than the one that answers its copy.
+            entry.opened_at = now;
+        }
         entry.backend_seq = Some(segment.seq);
         entry.backend_finished |= segment.flags.contains(Flags::FIN);
         let finished = entry.is_finished();
--- a/crates/dogwoodpitch/tests/steering/lifetime.rs
+++ b/crates/dogwoodpitch/tests/steering/lifetime.rs
@@ -137,9 +137,10 @@
 fn a_late_first_heartbeat_must_not_end_flows_of_its_own_lifetime() {
     let now = Instant::now();
     let mut agent = agent_with_backend(A, now);
+    let mut out = Vec::new();
     open_flow(&mut agent, 1, now);
+    agent.handle_heartbeat(&heartbeat(1, 2, false), now + 100 * MS, &mut out);
     open_flow(&mut agent, 2, now + 700 * MS);
-    let mut out = Vec::new();
     let outcome = agent.handle_heartbeat(&heartbeat(2, 9, false), now + 5_000 * MS, &mut out);
     assert_eq!((outcome, resets(&out)), (Outcome::Started, 1), "{out:?}");
     assert!(is_held(&agent, 2) && !is_held(&agent, 1));
@@ -158,3 +159,20 @@
     restarted.handle_query(&data(2, 501), hop(B), now + 60 * MS, &mut out);
     assert_eq!(out, [Effect::Deliver]);
 }
+
+/// A SYN reached one lifetime, and its copy was answered by the next one, which holds the flow.
+#[test]
+fn a_flow_belongs_to_the_lifetime_that_answers_its_syn() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    open_flow(&mut agent, 9, now + 100 * MS);
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &Members::default(), now + 110 * MS, &mut out);
+    agent.handle_backend_packet(&answer(9, 501, 10), now + 120 * MS, &mut out);
+    agent.handle_client_packet(&syn(1, 2), hop(BALANCER), &Members::default(), now + 710 * MS, &mut out);
+    build::open_flow(&mut agent, 1, 9_000, now + 711 * MS);
+    out.clear();
+    agent.handle_connection_refused(now + 720 * MS, &mut out);
+    assert_eq!(resets(&out), 1, "{out:?}");
+    assert!(is_held(&agent, 1) && !is_held(&agent, 9));
+}
