End flows that are older than the new lifetime of their backend server

Review of the fixes: since flows opened after the last heartbeat of a lifetime are kept when the next one begins, a flow of the ended lifetime stayed open without an end if its client only waited for a response. The number of the first heartbeat tells how long the new lifetime has run at most; older flows end with it.

flows_older_than_the_new_lifetime_end fails before and passes now. Still open: a flow that is opened after a pause of 200 ms, shortly before a crash and a restart within 1.5 s, ends only with its client's next packet.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -308,10 +308,17 @@
         }
         if let Some(last_heartbeat_at) = last_heartbeat_at {
             self.table_complete = true;
-            // The most recent flows, and any since the last heartbeat of the previous lifetime, may belong to the new
-            // one. If not, the backend server returns their packets.
-            let recent = now.checked_sub(self.backend.max_first_heartbeat_delay()).unwrap_or(now);
-            self.close_flows(|entry| entry.opened_at <= recent.min(last_heartbeat_at), out);
+            // Flows since the last heartbeat of the previous lifetime may belong to the new one, unless they are older than
+            // that can be. If they do not, the backend server returns their packets.
+            let before = |age| now.checked_sub(age).unwrap_or(self.started_at);
+            let first_heartbeat_delay = self.backend.max_first_heartbeat_delay();
+            let recent = before(first_heartbeat_delay).min(last_heartbeat_at);
+            let oldest = before(
+                self.backend
+                    .heartbeating_for(heartbeat)
+                    .saturating_add(first_heartbeat_delay),
+            );
+            self.close_flows(|entry| entry.opened_at <= recent.max(oldest), out);
         } else {
             self.table_complete = self.has_seen_all_flows(heartbeat, now);
             if self.table_complete {
--- a/crates/dogwoodpitch/tests/steering/lifetime.rs
+++ b/crates/dogwoodpitch/tests/steering/lifetime.rs
@@ -176,3 +176,15 @@
     assert_eq!(resets(&out), 1, "{out:?}");
     assert!(is_held(&agent, 1) && !is_held(&agent, 9));
 }
+
+/// The number of a heartbeat tells how long its lifetime has been sending heartbeats. Flows that are older belong to the
+/// lifetime before, even if they were opened after the last heartbeat of that.
+#[test]
+fn flows_older_than_the_new_lifetime_end() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    open_flow(&mut agent, 1, now + 10 * MS);
+    let mut out = Vec::new();
+    agent.handle_heartbeat(&heartbeat(2, 1, false), now + 10_000 * MS, &mut out);
+    assert_eq!(resets(&out), 1, "{out:?}");
+}
