--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -221,7 +221,8 @@
         if is_new {
             entry.client_end = Some(end);
         }
-        if is_new && entry.request.is_none() && entry.state != State::Closed {
+        let may_respond = entry.state != State::Closed && !entry.backend_finished;
+        if is_new && entry.request.is_none() && may_respond {
             self.busy += 1;
             entry.request = Some(Request {
                 started_at: now,
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1073,3 +1073,25 @@
         assert_eq!(out.contains(&Effect::Deliver), delivered, "{out:?}");
     }
 }
+
+/// A request that crosses the FIN of the backend server gets no response. It must not count as one in progress.
+#[test]
+fn a_request_after_the_fin_of_the_backend_server_is_not_in_progress() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    open_flow(&mut agent, 1, 500, now);
+    let fin = Segment {
+        flags: Flags::ACK.union(Flags::FIN),
+        ..answer(1, 501, 100)
+    };
+    agent.handle_backend_packet(&fin, now + 50 * MS, &mut out);
+    agent.handle_client_packet(
+        &data(1, 501),
+        hop(BALANCER),
+        &Members::default(),
+        now + 51 * MS,
+        &mut out,
+    );
+    assert_eq!(agent.load(now + 60 * MS).busy, 0);
+}
