Keep a handshake when a probe is answered late

Review of the fixes, not seen in a log: a packet of an expired probe that the backend server returns removed the entry of a handshake that had begun after the probe, and started a search that all agents deny. No packet is delivered to a flow that is only opening, so a returned one is always such an answer.

a_late_answer_to_a_probe_must_not_end_a_handshake fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -684,13 +684,15 @@
             self.deny_probed(flow, &requesters, now, out);
             return;
         }
-        match self.table.remove(flow) {
-            Some(entry) if matches!(entry.state, State::Open | State::Closed) => {
-                reset(out, flow, segment.ack, Evidence::Returned(Holding::from(&entry)));
-            }
-            Some(_) => self.start_search(segment, Origin::of(entry), members, now, out),
+        let Some(held) = entry.filter(|entry| entry.state != State::Opening) else {
             // A late answer to a probe. Starting another search would cause further probes, without end.
-            None => {}
+            return;
+        };
+        self.table.remove(flow);
+        if held.state == State::Restored {
+            self.start_search(segment, Origin::of(entry), members, now, out);
+        } else {
+            reset(out, flow, segment.ack, Evidence::Returned(Holding::from(&held)));
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1095,3 +1095,23 @@
     );
     assert_eq!(agent.load(now + 60 * MS).busy, 0);
 }
+
+/// The backend server returns a packet of a probe that has expired. It says nothing about a handshake that has begun
+/// since.
+#[test]
+fn a_late_answer_to_a_probe_must_not_end_a_handshake() {
+    let now = Instant::now();
+    let mut agent = agent_started_at(A, now, STARTED_MS + 60_000);
+    let mut out = Vec::new();
+    agent.handle_heartbeat(&heartbeat(1, 600, false), now, &mut out);
+    agent.handle_query(&data(1, 501), hop(B), now + MS, &mut out);
+    agent.tick(&Members::default(), now + 600 * MS, &mut out);
+    agent.handle_client_packet(&syn(1, 2), hop(BALANCER), &Members::default(), now + 605 * MS, &mut out);
+    agent.handle_backend_packet(&from_backend(1, 9_000), now + 610 * MS, &mut out);
+    let returned = Segment {
+        flags: Flags::ACK.union(Flags::RETURNED),
+        ..data(1, 501)
+    };
+    agent.handle_returned_packet(&returned, &members(&[B], Stance::Open, now), now + 620 * MS, &mut out);
+    assert!(agent.table.get(flow(1)).is_some());
+}
