Take a listed restart of an agent that has reported before

The reports of a restart can be lost on the way to one peer; a newer report of the same process counts now, however it comes.

a_listed_restart_of_a_known_agent_is_waited_for fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Takes over the state of a process that has not reported itself from a newer entry in a list.
+    /// Takes over a report that is newer than the last one from a list.
     fn update_listed(&mut self, listed: Report, now: Instant) {
         let same_process = self.report.incarnation == listed.incarnation;
-        if !self.heard && same_process && listed.number > self.report.number {
+        if same_process && listed.number > self.report.number {
             self.restarting_until = restarting_until(&listed, now);
             self.report = listed;
         }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -1115,3 +1115,20 @@
     agent.handle_returned_packet(&returned, &members(&[B], Stance::Open, now), now + 620 * MS, &mut out);
     assert!(agent.table.get(flow(1)).is_some());
 }
+
+/// The reports of a restart are lost on the way to one peer, which finds the restart in the list of another one.
+#[test]
+fn a_listed_restart_of_a_known_agent_is_waited_for() {
+    let start = Instant::now();
+    let now = start + 1_300 * MS;
+    let mut agent = agent_with_backend(B, start);
+    agent.mark_announced();
+    let mut peers = members(&[A, C], Stance::Open, start);
+    peers.add_listed([(A, agent_report(1, 40, Stance::Restarting))], start + 100 * MS);
+    peers.record_report(C, agent_report(2, 2, Stance::Open), now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
+    agent.handle_note(C, Note::Deny(flow(1)), now, &mut out);
+    agent.tick(&peers, now + 60 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
