Test whose word ends a flow

Each reset of a flow that may be open rests on somebody's word. 18 tests name, one by one, the cases that no test has covered: refused first SYNs, cached and late denials, pointers in a circle and wrong ones, restored flows, restarts under the same identifier, forgotten and restarting agents, routes that are removed and added again, full tables.

No code changes.

--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -6,6 +6,7 @@
 mod fuzz;
 mod lifetime;
 mod load;
+mod reset;
 
 use std::{
     collections::{BTreeSet, VecDeque},
--- /dev/null
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -0,0 +1,439 @@
+//! Evidence for resets: whose word ends a flow, how old it may be, and which agents are not asked.
+
+use std::{net::Ipv4Addr, time::Instant};
+
+use dogwoodpitch::state::steering::{
+    agent::{Agent, Effect, Hop, Note},
+    balancer::Decision,
+    evidence::Evidence,
+    member::Members,
+    report::Stance,
+    segment::{Flags, Segment},
+    table::State,
+};
+
+use crate::{
+    MS, balancer,
+    build::{
+        A, B, BALANCER, C, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, data, flow,
+        from_backend, heartbeat, hop, members, open_flow, routes, syn,
+    },
+    resets,
+};
+
+/// Distance from its last acknowledgment within which the client of an open flow accepts the sequence number of a reset.
+const RESET_WINDOW: u32 = 76_800;
+
+/// Agent that is announced and whose backend server started at the same time.
+fn announced(ip: Ipv4Addr, now: Instant) -> Agent {
+    let mut agent = agent_with_backend(ip, now);
+    agent.mark_announced();
+    agent
+}
+
+fn returned(segment: Segment) -> Segment {
+    Segment {
+        flags: segment.flags.union(Flags::RETURNED),
+        ..segment
+    }
+}
+
+fn queries(effects: &[Effect], agent: Ipv4Addr) -> bool {
+    effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Query { to, .. } if *to == agent))
+}
+
+/// Lets an agent handle a packet of a flow that it does not hold. Returns the effects.
+fn handle_data(agent: &mut Agent, port: u16, ack: u32, peers: &Members, now: Instant) -> Vec<Effect> {
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(port, ack), hop(BALANCER), peers, now, &mut out);
+    out
+}
+
+/// Lets a peer deny a flow at an agent. Returns the number of resets.
+fn deny(agent: &mut Agent, peer: Ipv4Addr, port: u16, now: Instant) -> usize {
+    let mut out = Vec::new();
+    agent.handle_note(peer, Note::Deny(flow(port)), now, &mut out);
+    resets(&out)
+}
+
+/// A first SYN may be read late and be refused when its copy has opened the flow. Its reset must not be one that the
+/// client of an open flow accepts.
+#[test]
+fn the_reset_of_a_refused_syn_is_outside_the_window_of_an_open_flow() {
+    let now = Instant::now();
+    let mut peers = members(&[A, B], Stance::Draining, now);
+    let refused = balancer().handle_client_packet(&syn(1, 0), &mut peers, now);
+    let Decision::Reset { seq: by_balancer, .. } = refused else {
+        panic!("{refused:?}");
+    };
+    let mut draining = agent_with_backend(A, now);
+    let mut out = Vec::new();
+    draining.handle_heartbeat(&heartbeat(1, 2, true), now, &mut out);
+    draining.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now, &mut out);
+    let by_agent = out.iter().find_map(|effect| match effect {
+        Effect::Reset { seq, .. } => Some(*seq),
+        _ => None,
+    });
+    for seq in [by_balancer, by_agent.unwrap()] {
+        let distance = seq.abs_diff(1_000_000);
+        assert!(distance > RESET_WINDOW, "{seq}");
+    }
+    // A copy is not refused, whoever gets it.
+    out.clear();
+    draining.handle_client_packet(&syn(2, 1), hop(BALANCER), &peers, now, &mut out);
+    let copy = balancer().handle_client_packet(&syn(2, 1), &mut peers, now);
+    assert!(
+        resets(&out) == 0 && matches!(copy, Decision::Drop { .. }),
+        "{out:?} {copy:?}"
+    );
+}
+
+/// A balancer knows only which agent it has tried, so it resets no flow that may be open, whatever it knows of the agents.
+#[test]
+fn a_balancer_resets_no_open_flow() {
+    let start = Instant::now();
+    for stance in [
+        Stance::Joining,
+        Stance::Open,
+        Stance::Draining,
+        Stance::Restarting,
+        Stance::Leaving,
+    ] {
+        for age_ms in [0, 800, 1_300, 9_000] {
+            for cached in [true, false] {
+                let mut peers = members(&[A, B], stance, start);
+                let mut balancer = balancer();
+                if cached {
+                    balancer.learn(flow(1), A, start);
+                }
+                let decision = balancer.handle_client_packet(&data(1, 501), &mut peers, start + age_ms * MS);
+                assert!(!matches!(decision, Decision::Reset { .. }), "{stance:?} {decision:?}");
+            }
+        }
+    }
+}
+
+/// A backend server may return a copy of the SYN of a flow that it has answered. The flow stays.
+#[test]
+fn a_returned_copy_of_a_syn_must_not_end_the_flow() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let peers = members(&[B], Stance::Open, now);
+    open_flow(&mut agent, 1, 500, now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&syn(1, 1), hop(BALANCER), &peers, now + 210 * MS, &mut out);
+    agent.handle_returned_packet(&returned(syn(1, 1)), &peers, now + 211 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+    assert_eq!(
+        handle_data(&mut agent, 1, 501, &peers, now + 220 * MS),
+        [Effect::Deliver]
+    );
+}
+
+/// A restart that an agent has announced itself is waited for, however silent it is, for 8 s. A search for a flow of
+/// repeatable requests ends after that.
+#[test]
+fn an_announced_restart_is_waited_for() {
+    let start = Instant::now();
+    for (age_ms, expected) in [(7_900, 0), (8_100, 1)] {
+        let now = start + age_ms * MS;
+        let mut peers = members(&[A, B], Stance::Open, start);
+        peers.record_report(A, agent_report(1, 2, Stance::Restarting), start);
+        peers.record_report(B, agent_report(2, 2, Stance::Open), now);
+        let mut searching = announced(C, start);
+        handle_data(&mut searching, 1, 501, &peers, now);
+        assert_eq!(deny(&mut searching, B, 1, now), 0);
+        let mut out = Vec::new();
+        searching.tick(&peers, now + 60 * MS, &mut out);
+        assert_eq!(resets(&out), expected, "{age_ms}");
+    }
+}
+
+/// An agent that is listed is asked for as long as it is, even if it is silent. One that is not is forgotten after 10 s.
+#[test]
+fn a_listed_agent_is_not_forgotten() {
+    let start = Instant::now();
+    let now = start + 11_000 * MS;
+    for listed in [true, false] {
+        let mut peers = members(&[A, B], Stance::Open, start);
+        if listed {
+            peers.add_listed([(A, agent_report(1, 1, Stance::Open))], start + 9_000 * MS);
+        }
+        peers.record_report(B, agent_report(2, 2, Stance::Open), now);
+        peers.expire(now);
+        let mut searching = announced(C, start);
+        let out = handle_data(&mut searching, 1, 501, &peers, now);
+        assert_eq!(queries(&out, A), listed, "{out:?}");
+    }
+}
+
+/// A denial may arrive after its search has expired and count in the next one. That ends only if all others have denied
+/// the flow as well.
+#[test]
+fn a_late_denial_does_not_stand_for_another_agent() {
+    let now = Instant::now();
+    let peers = members(&[A, B], Stance::Open, now);
+    let mut searching = announced(C, now);
+    handle_data(&mut searching, 1, 501, &peers, now);
+    searching.tick(&peers, now + 190 * MS, &mut Vec::new());
+    let out = handle_data(&mut searching, 1, 501, &peers, now + 200 * MS);
+    assert!(queries(&out, A) && queries(&out, B), "{out:?}");
+    assert_eq!(deny(&mut searching, B, 1, now + 201 * MS), 0);
+    assert_eq!(deny(&mut searching, B, 1, now + 205 * MS), 0);
+    assert_eq!(deny(&mut searching, A, 1, now + 206 * MS), 1);
+}
+
+/// A denial stays true: a flow whose client has sent more than SYNs cannot be opened by the agent any more, not even by a
+/// late copy of its SYN.
+#[test]
+fn a_late_copy_of_a_syn_must_not_take_an_open_flow() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let peers = members(&[B], Stance::Open, now);
+    let mut out = Vec::new();
+    agent.handle_query(&data(1, 501), hop(B), now, &mut out);
+    agent.handle_client_packet(&syn(1, 2), hop(BALANCER), &peers, now + 10 * MS, &mut out);
+    agent.handle_backend_packet(&from_backend(1, 9_000), now + 11 * MS, &mut out);
+    out.clear();
+    agent.handle_query(&data(1, 501), hop(B), now + 20 * MS, &mut out);
+    let denial = Effect::SendNote {
+        to: B,
+        note: Note::Deny(flow(1)),
+    };
+    assert_eq!(out, [denial]);
+}
+
+/// A cached result that no agent holds a flow must not outlive a newer word: a claim or pointer of its owner, or its SYN.
+#[test]
+fn a_newer_word_ends_a_cached_denial() {
+    let start = Instant::now();
+    let denied_at = |searching: &mut Agent, peers: &Members| {
+        handle_data(searching, 1, 501, peers, start);
+        assert_eq!(
+            deny(searching, A, 1, start) + deny(searching, B, 1, start),
+            1,
+            "the search must end"
+        );
+    };
+    let peers = members(&[A, B], Stance::Open, start);
+    for note in [Note::Claim(flow(1)), Note::Point(vec![flow(1)])] {
+        let mut searching = announced(C, start);
+        denied_at(&mut searching, &peers);
+        searching.handle_note(A, note, start + 10 * MS, &mut Vec::new());
+        let out = handle_data(&mut searching, 1, 501, &peers, start + 20 * MS);
+        assert!(matches!(out[..], [Effect::Forward { to: A, .. }]), "{out:?}");
+    }
+    let mut searching = announced(C, start);
+    denied_at(&mut searching, &peers);
+    let mut out = Vec::new();
+    searching.handle_client_packet(&syn(1, 1), hop(BALANCER), &peers, start + 10 * MS, &mut out);
+    open_flow(&mut searching, 1, 9_000, start + 11 * MS);
+    let out = handle_data(&mut searching, 1, 9_001, &peers, start + 20 * MS);
+    assert_eq!(out, [Effect::Deliver]);
+}
+
+/// The pointers of three agents form a circle. The packet ends in a search, which finds the owner.
+#[test]
+fn pointers_in_a_circle_end_in_a_search() {
+    let now = Instant::now();
+    let owner = Ipv4Addr::new(10, 1, 0, 4);
+    let circle = [A, B, C];
+    let mut agents = circle.map(|ip| announced(ip, now));
+    for (index, agent) in agents.iter_mut().enumerate() {
+        let next = circle[(index + 1) % circle.len()];
+        agent.handle_note(next, Note::Point(vec![flow(1)]), now, &mut Vec::new());
+    }
+    let mut at = hop(BALANCER);
+    let mut index = 0;
+    for _ in 0..10 {
+        let others: Vec<_> = circle
+            .into_iter()
+            .chain([owner])
+            .filter(|ip| *ip != circle[index])
+            .collect();
+        let mut out = Vec::new();
+        let peers = members(&others, Stance::Open, now);
+        agents[index].handle_client_packet(&data(1, 501), at, &peers, now, &mut out);
+        let [Effect::Forward { to, hops, .. }] = out[..] else {
+            assert!(queries(&out, owner) && resets(&out) == 0, "{out:?}");
+            return;
+        };
+        at = Hop {
+            sender: circle[index],
+            hops,
+            ..at
+        };
+        index = circle.iter().position(|ip| *ip == to).unwrap();
+    }
+    panic!("the packet is forwarded forever");
+}
+
+/// A pointer names an agent that does not hold the flow. That agent searches for the owner; it does not reset the flow.
+#[test]
+fn a_wrong_pointer_must_not_reset_the_flow() {
+    let now = Instant::now();
+    let mut home = announced(C, now);
+    home.handle_note(A, Note::Point(vec![flow(1)]), now, &mut Vec::new());
+    let out = handle_data(&mut home, 1, 501, &members(&[A, B], Stance::Open, now), now);
+    assert!(matches!(out[..], [Effect::Forward { to: A, hops: 1, .. }]), "{out:?}");
+    let mut named = announced(A, now);
+    named.handle_note(C, Note::Point(vec![flow(1)]), now, &mut Vec::new());
+    let mut out = Vec::new();
+    let forwarded = Hop { hops: 1, ..hop(C) };
+    let peers = members(&[B, C], Stance::Open, now);
+    named.handle_client_packet(&data(1, 501), forwarded, &peers, now, &mut out);
+    assert!(queries(&out, B) && queries(&out, C) && resets(&out) == 0, "{out:?}");
+    // Its denial removes the pointer.
+    home.handle_note(A, Note::Deny(flow(1)), now, &mut Vec::new());
+    let out = handle_data(&mut home, 1, 501, &members(&[A, B], Stance::Open, now), now);
+    assert!(queries(&out, B), "{out:?}");
+}
+
+/// A backend server restarts under its former identifier. The flows of its new lifetime that were opened before the first
+/// heartbeat of that are kept.
+#[test]
+fn a_restart_under_the_same_identifier_keeps_the_new_flows() {
+    let now = Instant::now();
+    let mut agent = agent_started_at(A, now, STARTED_MS + 60_000);
+    let mut out = Vec::new();
+    agent.handle_heartbeat(&heartbeat(1, 90, false), now, &mut out);
+    agent.handle_query(&data(2, 501), hop(B), now + MS, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &Members::default(), now + 900 * MS, &mut out);
+    open_flow(&mut agent, 1, 500, now + 901 * MS);
+    let mut restarted = heartbeat(1, 1, false);
+    restarted.started_ms = Some(STARTED_MS + 60_800);
+    out.clear();
+    agent.handle_heartbeat(&restarted, now + 1_000 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+    agent.handle_query(&data(1, 501), hop(B), now + 1_010 * MS, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+    out.clear();
+    agent.handle_query(&data(2, 501), hop(B), now + 1_020 * MS, &mut out);
+    let denial = Effect::SendNote {
+        to: B,
+        note: Note::Deny(flow(2)),
+    };
+    assert_eq!(out, [denial]);
+}
+
+/// A flow that the pointers of peers have restored may belong to another agent. Its returned packet starts a search.
+#[test]
+fn a_returned_packet_of_a_restored_flow_starts_a_search() {
+    let now = Instant::now();
+    let mut restarted = agent(A, now);
+    restarted.mark_announced();
+    let peers = members(&[B], Stance::Open, now);
+    restarted.handle_note(B, Note::Restore(vec![flow(1)]), now, &mut Vec::new());
+    assert_eq!(handle_data(&mut restarted, 1, 501, &peers, now), [Effect::Deliver]);
+    let mut out = Vec::new();
+    restarted.handle_returned_packet(&returned(data(1, 501)), &peers, now + MS, &mut out);
+    assert!(queries(&out, B) && resets(&out) == 0, "{out:?}");
+}
+
+/// A flow may be idle for as long as clients are promised, 60 s, and for some time longer.
+#[test]
+fn an_idle_flow_is_kept() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let peers = members(&[B], Stance::Open, now);
+    open_flow(&mut agent, 1, 500, now);
+    agent.tick(&peers, now + 70_000 * MS, &mut Vec::new());
+    let out = handle_data(&mut agent, 1, 501, &peers, now + 70_000 * MS);
+    assert_eq!(out, [Effect::Deliver]);
+}
+
+/// A flow that does not fit into the table would be denied while the backend server holds it, so its SYN is not delivered.
+#[test]
+fn a_full_table_takes_no_flow() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let mut out = Vec::new();
+    for port in 0..16_384 {
+        agent.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+    }
+    out.clear();
+    agent.handle_client_packet(
+        &syn(20_000, 0),
+        hop(BALANCER),
+        &Members::default(),
+        now + 100 * MS,
+        &mut out,
+    );
+    assert!(!out.contains(&Effect::Deliver), "{out:?}");
+    assert!(agent.table.get(flow(20_000)).is_none());
+}
+
+/// An agent may never see the version that removed a route, only the one that has added it again. Its flows stay.
+#[test]
+fn a_route_that_was_removed_and_added_again_keeps_its_flows() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    open_flow(&mut agent, 1, 500, now);
+    let mut out = Vec::new();
+    agent.set_routes(routes(9), &mut out);
+    assert_eq!(resets(&out), 0);
+    assert_eq!(agent.table.get(flow(1)).unwrap().state, State::Open);
+}
+
+/// Searches for many flows run at once. The packet of one that finds no room is dropped, and its client is not reset.
+#[test]
+fn a_search_that_finds_no_room_resets_nothing() {
+    let now = Instant::now();
+    let mut searching = announced(C, now);
+    let peers = members(&[A, B], Stance::Open, now);
+    for port in 0..1_024 {
+        handle_data(&mut searching, port, 501, &peers, now);
+    }
+    assert_eq!(handle_data(&mut searching, 2_000, 501, &peers, now), []);
+    assert_eq!(
+        deny(&mut searching, A, 2_000, now) + deny(&mut searching, B, 2_000, now),
+        0
+    );
+    let evidence = |effect: &Effect| {
+        matches!(
+            effect,
+            Effect::Reset {
+                evidence: Evidence::DeniedRecently,
+                ..
+            }
+        )
+    };
+    let out = handle_data(&mut searching, 2_000, 501, &peers, now + MS);
+    assert!(!out.iter().any(evidence), "{out:?}");
+}
+
+/// An agent whose backend server has ended denies all flows. That is true only because the next lifetime gets no flow
+/// before it is heard.
+#[test]
+fn an_agent_that_denies_all_flows_takes_none() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let mut out = Vec::new();
+    assert!(agent.handle_connection_refused(now, &mut out));
+    agent.backend.handle_connection_accepted(now + 100 * MS);
+    let peers = members(&[B], Stance::Open, now);
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now + 200 * MS, &mut out);
+    assert!(!out.contains(&Effect::Deliver), "{out:?}");
+    agent.handle_heartbeat(&heartbeat(2, 1, false), now + 300 * MS, &mut out);
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now + 400 * MS, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+}
+
+/// A restarted agent beside an older backend server asks it for as long as a flow may live, and denies flows without it
+/// only then.
+#[test]
+fn a_restarted_agent_probes_for_as_long_as_a_flow_may_live() {
+    let start = Instant::now();
+    let mut restarted = agent_started_at(A, start, STARTED_MS + 60_000);
+    restarted.handle_heartbeat(&heartbeat(1, 60, false), start, &mut Vec::new());
+    for (age_ms, probes) in [(60_000, true), (76_000, false)] {
+        let now = start + age_ms * MS;
+        let mut out = Vec::new();
+        restarted.tick(&Members::default(), now, &mut out);
+        restarted.handle_query(&data(1, 501), hop(B), now, &mut out);
+        assert_eq!(out.contains(&Effect::Deliver), probes, "{age_ms}: {out:?}");
+    }
+}
