Query agents that hold no flows by their last report

An open flow could be reset after its backend server had started beside a running agent, or shortly before it ended.

An agent that reported that it has no backend server, or that it leaves, was left out of a search. That report may be older than the flow: it counts for 700 ms, a pause of the searching process makes it count anew, and the newer ones may be lost. A stopping agent reports that it leaves up to 200 ms before its backend server ends. Such agents are now queried like all others. A live one answers at once; one that does not answer within 50 ms counts as denying the flow at the next tick, because its report and its silence agree. The end of a flow comes up to 150 ms later while such an agent is silent.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -14,7 +14,7 @@
     admission::{self, Queue, Syn, Work},
     backend::{Backend, Heartbeat, Outcome, Phase, Refusal},
     evidence::{Evidence, Holding},
-    member::Members,
+    member::{Member, Members},
     placement::{self, Candidate},
     pointer::{self, Pointers},
     probe::Probes,
@@ -572,7 +572,8 @@
         true
     }
 
-    /// Starts a search for the owner of a flow by querying all agents of the route's services. It ends at once if there is none to query.
+    /// Starts a search for the owner of a flow by querying all agents of the route's services. It ends at once if there is
+    /// none to query.
     fn start_search(
         &mut self,
         segment: &Segment,
@@ -585,7 +586,7 @@
         let route_services = self.route_services.get(&flow.service).into_iter().flatten();
         let services = route_services.chain([&self.service]);
         let mut queried: BTreeSet<_> = services
-            .flat_map(|service| members.holders(service, now))
+            .flat_map(|service| members.agents(service))
             .map(|member| member.ip)
             .collect();
         let probes_local = self.needs_probe();
@@ -611,17 +612,16 @@
         reset_if_not_found(flow, &progress, out);
     }
 
-    /// Counts unreachable peers that have not answered a query either as denying the flow, if its clients retry after
-    /// any failure and thus gain by an early reset. Missing reports alone may be due to losses or to a pause of this
-    /// process.
-    fn deny_for_unreachable(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
+    /// Counts peers that have not answered a query as denying the flow, if their reports agree: they hold no flows, or
+    /// they are unreachable and the clients of the flow retry after any failure, and thus gain by an early reset. The
+    /// reports alone may be out of date, or missing due to losses or to a pause of this process.
+    fn deny_for_silent(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         for (flow, silent) in self.searches.unanswered(now) {
             let route = self.routes.get(flow.service);
-            if route.is_none_or(|route| route.retry != Retry::Always) {
-                continue;
-            }
+            let retries = route.is_some_and(|route| route.retry == Retry::Always);
+            let is_gone = |member: &Member| member.holds_no_flows(now) || (retries && member.is_unreachable(now));
             for ip in silent {
-                if members.get(ip).is_some_and(|member| member.is_unreachable(now)) {
+                if members.get(ip).is_some_and(is_gone) {
                     let progress = self.searches.record_silence(flow, ip, now);
                     reset_if_not_found(flow, &progress, out);
                 }
@@ -795,7 +795,7 @@
             self.table_complete = true;
         }
         self.table.expire(now);
-        self.deny_for_unreachable(members, now, out);
+        self.deny_for_silent(members, now, out);
         self.searches.expire(now);
         self.probes.expire(now);
         self.pointers.expire(now);
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -141,7 +141,7 @@
     /// Whether an agent holds no flow by its own report: it is leaving, or it has recently reported that it has no
     /// backend server. A listed report may be out of date, and so may the report of no backend server once the agent is
     /// suspect.
-    fn holds_no_flows(&self, now: Instant) -> bool {
+    pub fn holds_no_flows(&self, now: Instant) -> bool {
         let vacant = self.report.stance == Stance::Leaving || (self.report.vacant && self.is_alive(now));
         self.heard && vacant
     }
@@ -262,8 +262,8 @@
         self.iter().filter(move |member| member.is_agent(service))
     }
 
-    /// Agents of a service that may hold flows. Agents that are leaving or have recently reported that they have no
-    /// backend server hold none, and may exit at any moment.
+    /// Agents of a service that hold flows by their reports. Agents that are leaving or have recently reported that they
+    /// have no backend server may exit at any moment.
     pub fn holders<'a>(&'a self, service: &'a Bytes, now: Instant) -> impl Iterator<Item = &'a Member> {
         self.agents(service).filter(move |member| !member.holds_no_flows(now))
     }
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -1,6 +1,9 @@
 //! Evidence for resets: whose word ends a flow, how old it may be, and which agents are not asked.
 
-use std::{net::Ipv4Addr, time::Instant};
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
 
 use dogwoodpitch::state::steering::{
     agent::{Agent, Effect, Hop, Note},
@@ -437,3 +440,51 @@
         assert_eq!(out.contains(&Effect::Deliver), probes, "{age_ms}: {out:?}");
     }
 }
+
+/// An agent reported that it has no backend server. That starts, and opens a flow before its agent's next report arrives.
+#[test]
+fn a_backend_server_that_started_since_the_last_report_is_queried() {
+    let start = Instant::now();
+    for paused in [Duration::ZERO, 5_000 * MS] {
+        let mut owner = agent(A, start);
+        owner.mark_announced();
+        let mut out = Vec::new();
+        owner.handle_connection_refused(start, &mut out);
+        assert!(owner.backend.is_absent());
+        let mut report = agent_report(9, 9, owner.stance(start));
+        report.vacant = true;
+        let mut peers = members(&[B], Stance::Open, start);
+        peers.record_report(A, report, start);
+        let up_at = start + paused + 10 * MS;
+        let now = up_at + 90 * MS;
+        if !paused.is_zero() {
+            // The pause of the searching process makes the report count as a recent one.
+            peers.extend_deadlines(now);
+            peers.record_report(B, agent_report(1, 9, Stance::Open), now);
+        }
+        owner.backend.handle_connection_accepted(up_at);
+        owner.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, up_at + 10 * MS, &mut out);
+        open_flow(&mut owner, 1, 500, up_at + 20 * MS);
+        let mut searching = announced(C, start);
+        handle_data(&mut searching, 1, 501, &peers, now);
+        assert_eq!(deny(&mut searching, B, 1, now), 0, "pause {paused:?}");
+    }
+}
+
+/// A backend server that has announced its exit still holds its flows. Its stopping agent must not be taken for one
+/// without flows.
+#[test]
+fn a_leaving_agent_with_open_flows_is_queried() {
+    let now = Instant::now();
+    let mut owner = announced(A, now);
+    open_flow(&mut owner, 1, 500, now);
+    owner.handle_heartbeat(&heartbeat(1, 2, true), now, &mut Vec::new());
+    owner.backend.handle_exit_notice(&heartbeat(1, 2, true).id, now);
+    owner.stop();
+    assert_eq!(owner.table.open_flows(), 1);
+    let mut peers = members(&[A, B], Stance::Open, now);
+    peers.record_report(A, agent_report(1, 2, owner.stance(now)), now);
+    let mut searching = announced(C, now);
+    handle_data(&mut searching, 1, 501, &peers, now + MS);
+    assert_eq!(deny(&mut searching, B, 1, now + MS), 0);
+}
