Conclude no search for 700 ms after a pause of the agent

An open flow could be reset by an agent that had just been resumed after a pause, although its backend server served it.

A paused process misses the reports of its peers. An agent that was added meanwhile is unknown to it, and it handles client packets that waited in its socket before it hears that agent: all agents that it knows deny the flow, and it resets it. A search that starts within 700 ms after a pause now stays without a conclusion, like one of an agent that is not announced; the client's next packet starts another one. By then all agents have reported, or are suspect.

A pause is also detected by the boot clock now: the steady clock does not count the time for which a VM is suspended. A stopping node detects pauses, too.

Found by reading; not seen in a log. an_agent_added_during_a_pause_must_not_lose_its_flows fails without handle_pause.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -400,18 +400,44 @@
     })
 }
 
-async fn run_ticks(node: &Rc<Node>) {
-    let mut next = Instant::now();
-    let mut ticks = 0_u64;
-    while !node.termination.is_requested() {
-        next += TICK;
-        time::sleep_until(next).await;
+/// Clock of the periodic work, which detects pauses of the process.
+#[derive(Debug)]
+struct Ticker {
+    due_at: Instant,
+    suspended: Duration,
+}
+
+impl Ticker {
+    fn start() -> Self {
+        Self {
+            due_at: Instant::now(),
+            suspended: time::suspended(),
+        }
+    }
+
+    /// Waits for the next tick and returns its time. After a pause, the silence of other nodes says nothing, and the local
+    /// node has missed their reports.
+    async fn wait(&mut self, node: &Rc<Node>) -> Instant {
+        self.due_at += TICK;
+        time::sleep_until(self.due_at).await;
         let now = Instant::now();
-        if now > next + PAUSE_THRESHOLD {
-            log::warn!(event = "node.stalled", ms = millis(now - next); "the process was paused");
+        let suspended_before = std::mem::replace(&mut self.suspended, time::suspended());
+        let paused = now - self.due_at + self.suspended.saturating_sub(suspended_before);
+        if paused > PAUSE_THRESHOLD {
+            log::warn!(event = "node.stalled", ms = millis(paused); "the process was paused");
             node.members.borrow_mut().extend_deadlines(now);
-            next = now;
+            agent::update_agent(node, &[], |agent, _, _| agent.handle_pause(now));
+            self.due_at = now;
         }
+        now
+    }
+}
+
+async fn run_ticks(node: &Rc<Node>) {
+    let mut ticker = Ticker::start();
+    let mut ticks = 0_u64;
+    while !node.termination.is_requested() {
+        let now = ticker.wait(node).await;
         ticks += 1;
         tick(node, ticks, now);
         reload::reload_if_due(node, ticks);
@@ -452,16 +478,17 @@
     if let State::Agent(agent) = &mut *node.state.borrow_mut() {
         agent.stop();
     }
+    let mut ticker = Ticker::start();
+    let mut now = Instant::now();
     let mut ticks = 0;
     loop {
-        let now = Instant::now();
         ticks += 1;
         tick(node, ticks, now);
         let done = now >= stop_at || agent::may_stop(node, ticks);
         if done {
             break;
         }
-        time::sleep_until(now + TICK).await;
+        now = ticker.wait(node).await;
     }
     node.send_report_to(|_role| true);
     membership::withdraw(node).await;
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -14,7 +14,7 @@
     admission::{self, Queue, Syn, Work},
     backend::{Backend, Heartbeat, Outcome, Phase, Refusal},
     evidence::{Evidence, Holding},
-    member::{Member, Members},
+    member::{Member, Members, SUSPECT_AFTER},
     placement::{self, Candidate},
     pointer::{self, Pointers},
     probe::Probes,
@@ -193,6 +193,8 @@
     table_complete: bool,
     /// Whether this agent is announced in the store and has read the list of the other nodes since.
     announced: bool,
+    /// From when on the reports of the peers are recent again after a pause of this process.
+    reports_recent_at: Instant,
     stopping: bool,
     /// Backend server of the agent.
     pub backend: Backend,
@@ -234,6 +236,7 @@
             started_ms: identity.started_ms,
             table_complete: false,
             announced: false,
+            reports_recent_at: now,
             stopping: false,
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
@@ -282,6 +285,17 @@
         self.announced = true;
     }
 
+    /// Handles a pause of this process that has just ended. It has missed the reports of its peers and may not know agents
+    /// that were added meanwhile.
+    pub fn handle_pause(&mut self, now: Instant) {
+        self.reports_recent_at = now + SUSPECT_AFTER;
+    }
+
+    /// Whether this agent knows all peers that may hold flows.
+    fn knows_all_peers(&self, now: Instant) -> bool {
+        self.announced && now >= self.reports_recent_at
+    }
+
     /// Load for the reports. SYNs in the queue count as requests in progress.
     pub fn load(&self, now: Instant) -> Load {
         Load {
@@ -593,9 +607,8 @@
         if probes_local {
             queried.insert(self.ip);
         }
-        if !self.announced {
-            // Some peers may still be unknown, so this search cannot prove that no agent holds the flow. The
-            // unspecified address never answers.
+        if !self.knows_all_peers(now) {
+            // This search cannot prove that no agent holds the flow. The unspecified address never answers.
             queried.insert(Ipv4Addr::UNSPECIFIED);
         }
         if !self.searches.start(flow, queried.clone(), segment.ack, now) {
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time without a report after which an agent is suspect and gets no new flows: three reports are missing.
-const SUSPECT_AFTER: Duration = Duration::from_millis(700);
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(700);
 /// Time without a report after which a node is unreachable: waiting for it no longer helps the clients of its flows.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_200);
 /// Time without a report after which a node that is not listed either is removed.
--- a/crates/dogwoodpitch/src/transport/time.rs
+++ b/crates/dogwoodpitch/src/transport/time.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Start of the incarnation numbers, 2025-01-01, in seconds since the Unix epoch.
 const INCARNATION_EPOCH_S: u64 = 1_735_689_600;
 
@@ -18,6 +20,12 @@
     u32::try_from(deciseconds).unwrap_or(u32::MAX)
 }
 
+/// Returns for how long the VM has been suspended since its start. [`Instant`] does not count that time.
+pub fn suspended() -> Duration {
+    let read = |clock| clock_gettime(clock).map_or(Duration::ZERO, Duration::from);
+    read(ClockId::CLOCK_BOOTTIME).saturating_sub(read(ClockId::CLOCK_MONOTONIC))
+}
+
 /// Waits until a deadline.
 pub async fn sleep_until(deadline: Instant) {
     monoio::time::sleep_until(deadline.into()).await;
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -488,3 +488,22 @@
     handle_data(&mut searching, 1, 501, &peers, now + MS);
     assert_eq!(deny(&mut searching, B, 1, now + MS), 0);
 }
+
+/// An agent that is added while a process is paused is unknown to it until the next report.
+#[test]
+fn an_agent_added_during_a_pause_must_not_lose_its_flows() {
+    let start = Instant::now();
+    let now = start + 3_000 * MS;
+    let mut resumed = announced(C, start);
+    let mut peers = members(&[B], Stance::Open, start);
+    peers.extend_deadlines(now);
+    resumed.handle_pause(now);
+    handle_data(&mut resumed, 1, 501, &peers, now + MS);
+    assert_eq!(deny(&mut resumed, B, 1, now + 2 * MS), 0);
+    // All agents have reported by then, or are silent.
+    let later = now + 700 * MS;
+    peers.record_report(A, agent_report(9, 1, Stance::Open), later);
+    handle_data(&mut resumed, 1, 501, &peers, later);
+    assert_eq!(deny(&mut resumed, B, 1, later), 0);
+    assert_eq!(deny(&mut resumed, A, 1, later), 1);
+}
