End an expired search without a conclusion

An open flow of repeatable requests could be reset by an agent whose tick was late.

A late tick counted the silence of unreachable agents in searches that had expired already. A tick that is late by less than 400 ms is not taken for a pause, but the answer of the owner and its report may wait in the socket behind it. Searches now expire before the silence of agents is counted.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -808,8 +808,9 @@
             self.table_complete = true;
         }
         self.table.expire(now);
-        self.deny_for_silent(members, now, out);
+        // A search that a late tick finds expired may have answers that have not been read yet.
         self.searches.expire(now);
+        self.deny_for_silent(members, now, out);
         self.probes.expire(now);
         self.pointers.expire(now);
         self.serve_queue(now, out);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -507,3 +507,20 @@
     assert_eq!(deny(&mut resumed, B, 1, later), 0);
     assert_eq!(deny(&mut resumed, A, 1, later), 1);
 }
+
+/// A search has expired while the process was paused for a short time. The answer of the owner waits in its socket, so
+/// the silence of the owner must not end the search.
+#[test]
+fn an_expired_search_must_not_end_by_silence() {
+    let start = Instant::now();
+    let asked_at = start + 1_000 * MS;
+    let mut peers = members(&[A, B], Stance::Open, start);
+    peers.record_report(B, agent_report(2, 2, Stance::Open), asked_at);
+    let mut searching = announced(C, start);
+    handle_data(&mut searching, 1, 501, &peers, asked_at);
+    assert_eq!(deny(&mut searching, B, 1, asked_at + 5 * MS), 0);
+    let mut out = Vec::new();
+    searching.tick(&peers, asked_at + 300 * MS, &mut out);
+    searching.handle_note(A, Note::Claim(flow(1)), asked_at + 301 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
