Drop a cached denial when the owner of the flow sends a pointer

An open flow could be reset by the cached result of an earlier search although its owner had reported it since.

A search without an owner is cached for 2 s. A claim of the owner ended it, but a pointer did not: if the owner was silent then, the pointer was not followed and the cached result reset the flow.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -760,18 +760,13 @@
         match note {
             Note::Learn(_) => {}
             Note::WasDraining => self.backend.assume_draining(),
-            Note::Claim(flow) => {
-                self.searches.record_owner(flow);
-                self.pointers.insert(flow, sender, now);
-            }
+            Note::Claim(flow) => self.record_owner(flow, sender, now),
             Note::Deny(flow) => {
                 self.pointers.remove_if_owner(flow, sender);
                 let progress = self.searches.record_denial(flow, sender, now);
                 reset_if_not_found(flow, &progress, out);
             }
-            Note::Point(flows) => flows
-                .into_iter()
-                .for_each(|flow| self.pointers.insert(flow, sender, now)),
+            Note::Point(flows) => flows.into_iter().for_each(|flow| self.record_owner(flow, sender, now)),
             Note::Restore(flows) => {
                 for flow in flows {
                     if !self.table_complete && self.table.get(flow).is_none() {
@@ -782,6 +777,11 @@
         }
     }
 
+    fn record_owner(&mut self, flow: Flow, owner: Ipv4Addr, now: Instant) {
+        self.searches.record_owner(flow);
+        self.pointers.insert(flow, owner, now);
+    }
+
     /// Handles the restart of a peer's process, which has lost its pointers and its table.
     pub fn handle_peer_restart(&mut self, peer: Ipv4Addr, out: &mut Vec<Effect>) {
         for (_, entry) in self.table.iter_mut() {
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -524,3 +524,19 @@
     searching.handle_note(A, Note::Claim(flow(1)), asked_at + 301 * MS, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// The owner of a flow has sent a pointer after a search had found none, and is silent now. The older result must not
+/// reset the flow.
+#[test]
+fn a_pointer_ends_a_cached_denial_even_if_its_owner_is_silent() {
+    let start = Instant::now();
+    let now = start + 1_500 * MS;
+    let mut searching = announced(C, start);
+    let mut peers = members(&[A, B], Stance::Open, start);
+    handle_data(&mut searching, 1, 501, &peers, start);
+    assert_eq!(deny(&mut searching, A, 1, start) + deny(&mut searching, B, 1, start), 1);
+    searching.handle_note(A, Note::Point(vec![flow(1)]), start + 100 * MS, &mut Vec::new());
+    peers.record_report(B, agent_report(2, 2, Stance::Open), now);
+    let out = handle_data(&mut searching, 1, 501, &peers, now);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
