Drop a reset of a flow that only a pointer names

A client could get a reset for an open flow from a backend server that never held it.

A backend server that has just started resets packets of flows that it does not know. The agent drops such a reset unless the client has opened the flow here; but an entry that a restarted agent has only from a peer's pointer counted as opened, and pointers can be wrong. Such a reset is now dropped as well, and the entry with it: the client's next packet starts a search.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -714,10 +714,15 @@
         self.backend.handle_packet(now);
         let flow = segment.flow_from_backend();
         let requesters = self.probes.take_requesters(flow);
-        let unopened = self.table.get(flow).is_none_or(|entry| entry.state == State::Opening);
-        if segment.flags.contains(Flags::RST) && unopened {
-            // A backend server that has just started resets flows that it never held. Another one may hold this flow.
+        let entry = self.table.get(flow);
+        let opened = entry.is_some_and(|entry| matches!(entry.state, State::Open | State::Closed));
+        if segment.flags.contains(Flags::RST) && !opened {
+            // A backend server that has just started resets flows that it never held. Another one may hold this flow, also
+            // if a pointer has named this agent.
             log(out, flow, "drop: reset of a flow that the client has not opened here");
+            if entry.is_some_and(|entry| entry.state == State::Restored) {
+                self.table.remove(flow);
+            }
             if let Some(requesters) = requesters {
                 self.deny_probed(flow, &requesters, now, out);
             }
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -47,6 +47,16 @@
         .any(|effect| matches!(effect, Effect::Query { to, .. } if *to == agent))
 }
 
+fn with_flags(flags: Flags, segment: Segment) -> Segment {
+    Segment { flags, ..segment }
+}
+
+fn sends_to_client(effects: &[Effect]) -> bool {
+    effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::SendToClient { .. }))
+}
+
 /// Lets an agent handle a packet of a flow that it does not hold. Returns the effects.
 fn handle_data(agent: &mut Agent, port: u16, ack: u32, peers: &Members, now: Instant) -> Vec<Effect> {
     let mut out = Vec::new();
@@ -540,3 +550,18 @@
     let out = handle_data(&mut searching, 1, 501, &peers, now);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// A backend server that has just started resets packets of flows that it never held. A pointer that named its agent is
+/// no proof that it held the flow.
+#[test]
+fn a_reset_of_a_restored_flow_is_not_sent_to_the_client() {
+    let now = Instant::now();
+    let mut restarted = agent(A, now);
+    let peers = members(&[B], Stance::Open, now);
+    let mut out = Vec::new();
+    restarted.handle_note(B, Note::Restore(vec![flow(1)]), now, &mut out);
+    restarted.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
+    let reset = with_flags(Flags::RST, from_backend(1, 0));
+    restarted.handle_backend_packet(&reset, now + MS, &mut out);
+    assert!(!sends_to_client(&out), "{out:?}");
+}
