Take no repeated handshake for the answer to a probe

Packets of an open flow could be sent to an agent whose backend server does not hold it.

A restarted agent probes its backend server for flows that it has not seen. Any packet of the backend server counted as the answer that it holds the flow, also the repeated SYN+ACK of a handshake that the client has not chosen. The agent then claimed the flow, and its peer stored a wrong pointer.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -713,7 +713,12 @@
     pub fn handle_backend_packet(&mut self, segment: &Segment, now: Instant, out: &mut Vec<Effect>) {
         self.backend.handle_packet(now);
         let flow = segment.flow_from_backend();
-        let requesters = self.probes.take_requesters(flow);
+        // A repeated SYN+ACK may belong to a handshake that the client has not chosen, so it answers no probe.
+        let requesters = if segment.flags.contains(Flags::SYN) {
+            None
+        } else {
+            self.probes.take_requesters(flow)
+        };
         let entry = self.table.get(flow);
         let opened = entry.is_some_and(|entry| matches!(entry.state, State::Open | State::Closed));
         if segment.flags.contains(Flags::RST) && !opened {
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -565,3 +565,20 @@
     restarted.handle_backend_packet(&reset, now + MS, &mut out);
     assert!(!sends_to_client(&out), "{out:?}");
 }
+
+/// A restarted agent probes a flow whose handshake its backend server has lost. The repeated SYN+ACK is no answer to the
+/// probe: peers would store a pointer to the wrong agent.
+#[test]
+fn a_repeated_handshake_is_no_answer_to_a_probe() {
+    let now = Instant::now();
+    let mut restarted = agent_started_at(A, now, STARTED_MS + 60_000);
+    let mut out = Vec::new();
+    restarted.handle_query(&data(1, 501), hop(B), now, &mut out);
+    assert_eq!(out, [Effect::Deliver]);
+    restarted.handle_backend_packet(&from_backend(1, 9_000), now + MS, &mut out);
+    let claim = Effect::SendNote {
+        to: B,
+        note: Note::Claim(flow(1)),
+    };
+    assert!(!out.contains(&claim), "{out:?}");
+}
