Take the listed agent at an address whose VM was replaced

An open flow could be reset although its backend server served it, if its agent has the address of a VM that had failed.

A node that is known by a report was never replaced by a list. After the loss of a VM, an agent of another service may get its address; as long as its own reports were lost, peers did not query it, although the store listed it. A listed node of another role or service now replaces an unreachable one.

--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -85,13 +85,19 @@
         }
     }
 
-    /// Takes over a report that is newer than the last one from a list.
-    fn update_listed(&mut self, listed: Report, now: Instant) {
+    /// Takes over a report that is newer than the last one from a list. An unreachable node is replaced if its address
+    /// has got another role or service, because its VM is gone. Returns whether it was.
+    fn update_listed(&mut self, listed: Report, now: Instant) -> bool {
+        if !self.report.is_same_node(&listed) && self.is_unreachable(now) {
+            *self = Self::new(self.ip, listed, now);
+            return true;
+        }
         let same_process = self.report.incarnation == listed.incarnation;
         if same_process && listed.number > self.report.number {
             self.restarting_until = restarting_until(&listed, now);
             self.report = listed;
         }
+        false
     }
 
     fn record_contact(&mut self, now: Instant) {
@@ -202,14 +208,20 @@
     pub fn add_listed(&mut self, listed: impl IntoIterator<Item = (Ipv4Addr, Report)>, now: Instant) -> Vec<Ipv4Addr> {
         let mut added = Vec::new();
         for (ip, report) in listed {
-            if let Some(known) = self.nodes.get_mut(&ip) {
-                known.remove_at = known.remove_at.max(now + REMOVE_AFTER);
-                known.update_listed(report, now);
-                continue;
+            let is_new = match self.nodes.get_mut(&ip) {
+                Some(known) => {
+                    known.remove_at = known.remove_at.max(now + REMOVE_AFTER);
+                    known.update_listed(report, now)
+                }
+                None => {
+                    self.nodes.insert(ip, Member::new(ip, report, now));
+                    true
+                }
+            };
+            if is_new {
+                self.generation += 1;
+                added.push(ip);
             }
-            self.nodes.insert(ip, Member::new(ip, report, now));
-            self.generation += 1;
-            added.push(ip);
         }
         added
     }
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -582,3 +582,20 @@
     };
     assert!(!out.contains(&claim), "{out:?}");
 }
+
+/// A VM failed, and a new one at its address serves another service. The list shows it; its own reports are lost.
+#[test]
+fn a_listed_agent_at_the_address_of_another_service_is_queried() {
+    let start = Instant::now();
+    let now = start + 3_000 * MS;
+    let mut other = agent_report(1, 1, Stance::Open);
+    other.service = "other".into();
+    let mut peers = members(&[B], Stance::Open, start);
+    peers.record_report(A, other, start);
+    peers.add_listed([(A, agent_report(77, 1, Stance::Open))], now);
+    peers.record_report(B, agent_report(1, 9, Stance::Open), now);
+    let mut searching = announced(C, start);
+    let out = handle_data(&mut searching, 1, 501, &peers, now);
+    assert!(queries(&out, A), "{out:?}");
+    assert_eq!(deny(&mut searching, B, 1, now), 0);
+}
