End no flow by a removal of its route that is out of date

An open flow could be reset when its route had been removed and added again, although the route is there.

A balancer may use newer routes than an agent; the agent takes the flow on its word. When the agent then applied the version before, which had removed the route, it reset the flow. An agent now ends flows by a removal only if no balancer has used a newer version towards it; the newer one decides.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -202,6 +202,8 @@
     pub table: Table,
     /// Routes in force.
     pub routes: Rc<Routes>,
+    /// Newest version of the routes with which a packet was forwarded to this agent.
+    newest_version: u64,
     /// Services to which each route leads or has led since this process started. Their agents may hold open flows of it.
     route_services: HashMap<SocketAddrV4, BTreeSet<Bytes>>,
     pointers: Pointers,
@@ -241,6 +243,7 @@
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
             routes: Rc::default(),
+            newest_version: 0,
             route_services: HashMap::new(),
             pointers: Pointers::default(),
             searches: Searches::default(),
@@ -384,6 +387,7 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
+        self.newest_version = self.newest_version.max(hop.version);
         if segment.is_initial_syn() {
             self.handle_syn(segment, hop, members, now, out);
         } else {
@@ -861,21 +865,23 @@
         }
     }
 
-    /// Replaces the routes. Flows whose route was removed are reset.
+    /// Replaces the routes. Flows whose route was removed are reset, unless a balancer has used newer routes: the route may
+    /// have been added again and the flow opened since.
     pub fn set_routes(&mut self, routes: Rc<Routes>, out: &mut Vec<Effect>) {
-        let before = std::mem::replace(&mut self.routes, routes);
+        self.routes = routes;
+        let is_newest = self.routes.version >= self.newest_version;
         let dropped: Vec<_> = self
             .table
             .iter_mut()
             .map(|(flow, entry)| (flow, entry.client_ack))
-            .filter(|(flow, _)| before.get(flow.service).is_some() && self.routes.get(flow.service).is_none())
+            .filter(|(flow, _)| is_newest && self.routes.get(flow.service).is_none())
             .collect();
         for (flow, seq) in dropped {
             self.table.remove(flow);
             reset(out, flow, seq, Evidence::RouteRemoved);
         }
         self.route_services
-            .retain(|address, _| self.routes.get(*address).is_some());
+            .retain(|address, _| !is_newest || self.routes.get(*address).is_some());
         for (address, route) in &self.routes.routes {
             let services = route.shares.iter().map(|share| share.service.clone());
             self.route_services.entry(*address).or_default().extend(services);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::Ipv4Addr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -18,7 +19,7 @@
 use crate::{
     MS, balancer,
     build::{
-        A, B, BALANCER, C, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, data, flow,
+        A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, data, flow,
         from_backend, heartbeat, hop, members, open_flow, routes, syn,
     },
     resets,
@@ -599,3 +600,24 @@
     assert!(queries(&out, A), "{out:?}");
     assert_eq!(deny(&mut searching, B, 1, now), 0);
 }
+
+/// A flow was opened under a version that has added its route again. The agent applies the version before, which had
+/// removed the route, only now.
+#[test]
+fn an_older_removal_of_a_route_must_not_reset_a_newer_flow() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let mut out = Vec::new();
+    let newer = Hop {
+        version: 6,
+        ..hop(BALANCER)
+    };
+    agent.handle_client_packet(&syn(1, 0), newer, &Members::default(), now, &mut out);
+    open_flow(&mut agent, 1, 500, now + MS);
+    let mut without = (*routes(5)).clone();
+    without.routes.remove(&SERVICE);
+    out.clear();
+    agent.set_routes(Rc::new(without), &mut out);
+    agent.set_routes(routes(6), &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
