Conclude no search right after a mass start

An open flow could be reset after a mass start although its backend server served it.

While all agents start, they take flows before their peers know them, because no other agent could. A search of an announced agent that had not heard of such a peer ended when all others denied the flow. A search now has no conclusion until the agent has run for 600 ms, unless a peer is open.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -294,9 +294,14 @@
         self.reports_recent_at = now + SUSPECT_AFTER;
     }
 
-    /// Whether this agent knows all peers that may hold flows.
-    fn knows_all_peers(&self, now: Instant) -> bool {
-        self.announced && now >= self.reports_recent_at
+    /// Whether this agent knows all peers that may hold flows. In a mass start, peers take flows before others know them.
+    fn knows_all_peers(&self, members: &Members, now: Instant) -> bool {
+        let settled = now >= self.joined_at() || self.has_open_peer(members, now);
+        self.announced && settled && now >= self.reports_recent_at
+    }
+
+    fn has_open_peer(&self, members: &Members, now: Instant) -> bool {
+        members.iter().any(|member| member.is_open(&self.service, now))
     }
 
     /// Load for the reports. SYNs in the queue count as requests in progress.
@@ -404,9 +409,7 @@
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.state != State::Closed);
         // A peer that does not know this agent yet could not find the flow.
-        let yields = self.is_unknown_to_peers(now)
-            && hop.hops < MAX_HOPS
-            && members.iter().any(|member| member.is_open(&self.service, now));
+        let yields = self.is_unknown_to_peers(now) && hop.hops < MAX_HOPS && self.has_open_peer(members, now);
         let accepts = self.accepts_new_flows(now) && now >= self.backend_full_until && !yields;
         if self.queue.remove(flow) {
             out.push(Effect::Discard { flow });
@@ -611,7 +614,7 @@
         if probes_local {
             queried.insert(self.ip);
         }
-        if !self.knows_all_peers(now) {
+        if !self.knows_all_peers(members, now) {
             // This search cannot prove that no agent holds the flow. The unspecified address never answers.
             queried.insert(Ipv4Addr::UNSPECIFIED);
         }
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -621,3 +621,21 @@
     agent.set_routes(routes(6), &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// All agents start at the same time. One that is announced has not heard of another one yet, which has taken a flow
+/// because nobody was open. The first agent cannot know that all others deny the flow.
+#[test]
+fn an_agent_that_starts_with_all_others_must_not_speak_for_them() {
+    let start = Instant::now();
+    let now = start + 200 * MS;
+    let mut unannounced = agent_with_backend(A, start);
+    let joining = members(&[B], Stance::Joining, start);
+    let mut out = Vec::new();
+    unannounced.handle_client_packet(&syn(1, 0), hop(BALANCER), &joining, now, &mut out);
+    if out.contains(&Effect::Deliver) {
+        open_flow(&mut unannounced, 1, 500, now + 2 * MS);
+        let mut searching = announced(C, start);
+        handle_data(&mut searching, 1, 501, &joining, now + 5 * MS);
+        assert_eq!(deny(&mut searching, B, 1, now + 6 * MS), 0);
+    }
+}
