Conclude no search without routes

An open flow could be reset by an agent of another service that had just started.

An agent queries the agents of all services of a route. Before it has read the routes it knows only its own service, and reset flows that the agents of that one denied. Such a packet reaches it if its VM has the address of an agent that a balancer has cached. A search has no conclusion now as long as no routes are loaded.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -294,10 +294,11 @@
         self.reports_recent_at = now + SUSPECT_AFTER;
     }
 
-    /// Whether this agent knows all peers that may hold flows. In a mass start, peers take flows before others know them.
+    /// Whether this agent knows all peers that may hold a flow. In a mass start, peers take flows before others know them.
+    /// Without routes, the services of a flow are not known.
     fn knows_all_peers(&self, members: &Members, now: Instant) -> bool {
         let settled = now >= self.joined_at() || self.has_open_peer(members, now);
-        self.announced && settled && now >= self.reports_recent_at
+        self.announced && self.routes.is_loaded() && settled && now >= self.reports_recent_at
     }
 
     fn has_open_peer(&self, members: &Members, now: Instant) -> bool {
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -7,7 +7,7 @@
 };
 
 use dogwoodpitch::state::steering::{
-    agent::{Agent, Effect, Hop, Note},
+    agent::{Agent, Effect, Hop, Identity, Note},
     balancer::Decision,
     evidence::Evidence,
     member::Members,
@@ -639,3 +639,25 @@
         assert_eq!(deny(&mut searching, B, 1, now + 6 * MS), 0);
     }
 }
+
+/// A new VM has the address of an agent of another service, which a balancer has cached. Without routes, its agent cannot
+/// know whom to query for the flow.
+#[test]
+fn an_agent_without_routes_must_not_speak_for_all() {
+    let now = Instant::now();
+    let identity = Identity {
+        ip: C,
+        data_centre: "east".into(),
+        service: "other".into(),
+        started_ms: STARTED_MS,
+    };
+    let mut started = Agent::new(identity, 770 * MS, now);
+    started.handle_heartbeat(&heartbeat(1, 1, false), now, &mut Vec::new());
+    started.mark_announced();
+    let mut peers = members(&[A], Stance::Open, now);
+    let mut other = agent_report(2, 1, Stance::Open);
+    other.service = "other".into();
+    peers.record_report(B, other, now);
+    let out = handle_data(&mut started, 1, 501, &peers, now);
+    assert!(queries(&out, A) || deny(&mut started, B, 1, now) == 0, "{out:?}");
+}
