Conclude no search right after an agent was cut off

An open flow could be reset by an agent that had just been cut off from the others, although its backend server served it.

An agent that is cut off misses reports like one that is paused, and does not know agents that were added meanwhile. A pause also ends the searches that began before it was detected, because packets that waited in the socket are handled first.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -292,6 +292,7 @@
     /// that were added meanwhile.
     pub fn handle_pause(&mut self, now: Instant) {
         self.reports_recent_at = now + SUSPECT_AFTER;
+        self.searches.abandon_running();
     }
 
     /// Whether this agent knows all peers that may hold a flow. In a mass start, peers take flows before others know them.
@@ -825,6 +826,10 @@
         if now >= self.started_at + TABLE_COMPLETE_AFTER {
             self.table_complete = true;
         }
+        if !members.iter().any(|member| member.is_alive(now)) {
+            // An agent that is cut off misses reports like one that is paused.
+            self.reports_recent_at = now + SUSPECT_AFTER;
+        }
         self.table.expire(now);
         // A search that a late tick finds expired may have answers that have not been read yet.
         self.searches.expire(now);
--- a/crates/dogwoodpitch/src/state/steering/search.rs
+++ b/crates/dogwoodpitch/src/state/steering/search.rs
@@ -103,6 +103,11 @@
         Progress::NotFound { client_ack, denials }
     }
 
+    /// Ends all running searches without a result.
+    pub fn abandon_running(&mut self) {
+        self.searches.clear();
+    }
+
     /// Ends the search because the owner is known.
     pub fn record_owner(&mut self, flow: Flow) {
         self.searches.remove(&flow);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -507,8 +507,11 @@
     let now = start + 3_000 * MS;
     let mut resumed = announced(C, start);
     let mut peers = members(&[B], Stance::Open, start);
+    // The packet waited in the socket and is handled before the pause is detected.
+    handle_data(&mut resumed, 2, 501, &peers, now);
     peers.extend_deadlines(now);
     resumed.handle_pause(now);
+    assert_eq!(deny(&mut resumed, B, 2, now + 2 * MS), 0);
     handle_data(&mut resumed, 1, 501, &peers, now + MS);
     assert_eq!(deny(&mut resumed, B, 1, now + 2 * MS), 0);
     // All agents have reported by then, or are silent.
@@ -661,3 +664,16 @@
     let out = handle_data(&mut started, 1, 501, &peers, now);
     assert!(queries(&out, A) || deny(&mut started, B, 1, now) == 0, "{out:?}");
 }
+
+/// An agent that is added while another one is cut off from all nodes is unknown to it until the next report.
+#[test]
+fn an_agent_added_during_a_partition_must_not_lose_its_flows() {
+    let start = Instant::now();
+    let now = start + 3_000 * MS;
+    let mut isolated = announced(C, start);
+    let mut peers = members(&[B], Stance::Open, start);
+    isolated.tick(&peers, now, &mut Vec::new());
+    peers.record_report(B, agent_report(1, 2, Stance::Open), now + MS);
+    handle_data(&mut isolated, 1, 501, &peers, now + 2 * MS);
+    assert_eq!(deny(&mut isolated, B, 1, now + 3 * MS), 0);
+}
