Refuse a SYN only on recent reports of all agents

The client of an open flow could get a reset for its first SYN, and other clients lost a try, after a pause of a balancer.

A balancer or agent that knows no open agent reset the first SYN. Silent agents counted as refusing. After a pause, all are silent until their reports are read, and a first SYN that waited in the socket is handled before: its copy may have opened the flow elsewhere meanwhile. (Sequence number 0 keeps most clients of open flows from taking the reset.) The SYN is now dropped unless each agent has recently reported that it accepts no flow, or that it leaves.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -527,6 +527,9 @@
             None if members.iter().any(|member| member.is_starting(&self.service, now)) => {
                 log(out, flow, "drop: agents are starting");
             }
+            None if !members.agents(&self.service).all(|member| member.refuses_flows(now)) => {
+                log(out, flow, "drop: agents are silent");
+            }
             _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
             _ => reset(out, flow, 0, Evidence::SynRefused),
         }
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -217,7 +217,7 @@
             reason: "no_agent_known",
         };
     }
-    if segment.ack > 0 {
+    if segment.ack > 0 || !members.agents(service).all(|member| member.refuses_flows(now)) {
         return Decision::Drop {
             reason: "no_agent_open",
         };
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -144,6 +144,12 @@
         self.is_agent(service) && (!self.heard || self.report.stance == Stance::Joining || self.is_restarting(now))
     }
 
+    /// Whether the node is known to accept no new flow. The last report of a silent one may be out of date.
+    pub fn refuses_flows(&self, now: Instant) -> bool {
+        let open = matches!(self.report.stance, Stance::Open | Stance::Joining);
+        self.report.stance == Stance::Leaving || (self.is_alive(now) && !open)
+    }
+
     /// Whether an agent holds no flow by its own report: it is leaving, or it has recently reported that it has no
     /// backend server. A listed report may be out of date, and so may the report of no backend server once the agent is
     /// suspect.
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -677,3 +677,19 @@
     handle_data(&mut isolated, 1, 501, &peers, now + 2 * MS);
     assert_eq!(deny(&mut isolated, B, 1, now + 3 * MS), 0);
 }
+
+/// Missing reports show that an agent is silent, and not that it refuses new flows: all of them are missing after a pause
+/// of the process. The first SYN has waited in its socket, and a copy may have opened the flow.
+#[test]
+fn a_syn_is_not_reset_because_all_agents_are_silent() {
+    let start = Instant::now();
+    let now = start + 800 * MS;
+    let mut peers = members(&[A, B], Stance::Open, start);
+    let decision = balancer().handle_client_packet(&syn(1, 0), &mut peers, now);
+    assert!(!matches!(decision, Decision::Reset { .. }), "{decision:?}");
+    let mut draining = announced(C, start);
+    draining.handle_heartbeat(&heartbeat(1, 2, true), start, &mut Vec::new());
+    let mut out = Vec::new();
+    draining.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
