End restored flows of a backend server that exited during a restart of its agent

Clients waited for up to 75 s without an answer or a reset.

A restarted agent takes flows from the pointers of its peers. If its backend server had exited meanwhile, it delivered their packets to a closed port, and refused checks of a backend server that it has never heard proved nothing. They now end all flows after 1.5 s, like those of a backend server that ends without a notice.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -367,12 +367,13 @@
     /// Handles a refused connection to the backend server's address, by a check that began at `checked_at`. Returns
     /// whether a lifetime of the backend server has ended, and its flows with it.
     pub fn handle_connection_refused(&mut self, checked_at: Instant, out: &mut Vec<Effect>) -> bool {
+        let was_down = self.backend.is_down();
         match self.backend.handle_connection_refused(checked_at) {
             Refusal::Inconclusive => return false,
             Refusal::EndedUntil(restart_at) => self.close_flows(|entry| entry.opened_at <= restart_at, out),
             Refusal::Exited => self.close_flows(|_entry| true, out),
         }
-        true
+        !was_down
     }
 
     fn close_flows(&mut self, predicate: impl Fn(&Entry) -> bool, out: &mut Vec<Effect>) {
--- a/crates/dogwoodpitch/src/state/steering/backend.rs
+++ b/crates/dogwoodpitch/src/state/steering/backend.rs
@@ -253,6 +253,8 @@
             (Phase::Ready, Some(_)) if !unannounced_exit => Refusal::Inconclusive,
             (Phase::Ready, _) => Refusal::Exited,
             (Phase::Draining, _) if announced_exit.unwrap_or(unannounced_exit) => Refusal::Exited,
+            // Its agent may have started after it has exited.
+            (Phase::Down, _) if unannounced_exit => Refusal::Exited,
             (Phase::Draining | Phase::Down, _) => Refusal::Inconclusive,
         };
         if refusal == Refusal::Exited {
--- a/crates/dogwoodpitch/tests/steering/lifetime.rs
+++ b/crates/dogwoodpitch/tests/steering/lifetime.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use dogwoodpitch::state::steering::{
-    agent::{Agent, Effect},
+    agent::{Agent, Effect, Note},
     backend::{Outcome, Phase},
     member::Members,
     segment::Flags,
@@ -188,3 +188,17 @@
     agent.handle_heartbeat(&heartbeat(2, 1, false), now + 10_000 * MS, &mut out);
     assert_eq!(resets(&out), 1, "{out:?}");
 }
+
+/// A backend server exits while its agent restarts. The new process has its flows only from the pointers of peers, and would
+/// deliver their packets to a closed port until they expire.
+#[test]
+fn flows_of_a_backend_server_that_exited_while_its_agent_restarted_end() {
+    let start = Instant::now();
+    let mut agent = agent(A, start);
+    let mut out = Vec::new();
+    agent.handle_note(B, Note::Restore(vec![flow(1)]), start, &mut out);
+    agent.handle_connection_refused(start, &mut out);
+    assert!(is_held(&agent, 1));
+    assert!(!agent.handle_connection_refused(start + 1_500 * MS, &mut out));
+    assert!(!is_held(&agent, 1));
+}
