Take no flow at an agent that a listed peer has not answered yet

An open flow could be reset shortly after an agent was added or restarted, although its backend server served it.

An agent took flows as soon as it was announced. A peer whose one greeting was lost does not know the agent until its next report, up to 500 ms later, does not query it, and resets its flows. A peer that has reported to the agent knows it; as long as a listed peer has not, and is not silent for 1.2 s either, the agent now forwards new flows to an open peer. Without an open peer it takes them, as before.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -277,9 +277,11 @@
             }
     }
 
-    /// Whether some peers may not know this agent, because it is not announced and its greetings are under way.
-    fn is_unknown_to_peers(&self, now: Instant) -> bool {
-        !self.announced && now < self.joined_at()
+    /// Whether some peers may not know this agent: it is not announced and its greetings are under way, or a peer that it
+    /// has found in a list has not reported to it yet.
+    fn is_unknown_to_peers(&self, members: &Members, now: Instant) -> bool {
+        let unheard = |member: &Member| !member.heard && !member.is_unreachable(now);
+        (!self.announced && now < self.joined_at()) || members.agents(&self.service).any(unheard)
     }
 
     /// Records that other nodes can find this agent in the store, and that it knows all nodes that were announced
@@ -412,7 +414,7 @@
         }
         let known = self.table.get(flow).is_some_and(|entry| entry.state != State::Closed);
         // A peer that does not know this agent yet could not find the flow.
-        let yields = self.is_unknown_to_peers(now) && hop.hops < MAX_HOPS && self.has_open_peer(members, now);
+        let yields = self.is_unknown_to_peers(members, now) && hop.hops < MAX_HOPS && self.has_open_peer(members, now);
         let accepts = self.accepts_new_flows(now) && now >= self.backend_full_until && !yields;
         if self.queue.remove(flow) {
             out.push(Effect::Discard { flow });
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -693,3 +693,22 @@
     draining.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// An announced agent has found a peer in the store, which has not answered its greeting yet. That peer may not know it,
+/// and would not query it.
+#[test]
+fn an_agent_takes_no_flow_while_a_peer_has_not_answered_its_greeting() {
+    let start = Instant::now();
+    let now = start + 700 * MS;
+    let mut joining = announced(A, start);
+    let mut known = members(&[B], Stance::Open, now);
+    known.add_listed([(C, agent_report(3, 1, Stance::Open))], now);
+    let mut out = Vec::new();
+    joining.handle_client_packet(&syn(1, 0), hop(BALANCER), &known, now, &mut out);
+    if out.contains(&Effect::Deliver) {
+        open_flow(&mut joining, 1, 500, now + MS);
+        let mut unaware = announced(C, start);
+        handle_data(&mut unaware, 1, 501, &members(&[B], Stance::Open, now), now + 5 * MS);
+        assert_eq!(deny(&mut unaware, B, 1, now + 6 * MS), 0);
+    }
+}
