--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -214,15 +214,12 @@
     pub fn add_listed(&mut self, listed: impl IntoIterator<Item = (Ipv4Addr, Report)>, now: Instant) -> Vec<Ipv4Addr> {
         let mut added = Vec::new();
         for (ip, report) in listed {
-            let is_new = match self.nodes.get_mut(&ip) {
-                Some(known) => {
-                    known.remove_at = known.remove_at.max(now + REMOVE_AFTER);
-                    known.update_listed(report, now)
-                }
-                None => {
-                    self.nodes.insert(ip, Member::new(ip, report, now));
-                    true
-                }
+            let is_new = if let Some(known) = self.nodes.get_mut(&ip) {
+                known.remove_at = known.remove_at.max(now + REMOVE_AFTER);
+                known.update_listed(report, now)
+            } else {
+                self.nodes.insert(ip, Member::new(ip, report, now));
+                true
             };
             if is_new {
                 self.generation += 1;
