Keep a flow whose backend server goes on after a reset of its client

An open flow could be reset although its backend server served it, if its client had reset the handshake of another one.

A reset by the client closed the entry of the agent for good, and it was forgotten 3 s later. The packet may be meant for the handshake of another backend server, and the owner's backend server ignores it. Data of the backend server opens the entry again now.

--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -76,6 +76,8 @@
     client_finished: bool,
     /// Whether the backend server has sent a FIN.
     backend_finished: bool,
+    /// Whether only a reset by the client has closed the flow.
+    reset_by_client: bool,
     /// Sequence number after the last byte that the client has sent. A retransmission does not exceed it.
     client_end: Option<u32>,
     expires_at: Instant,
@@ -152,6 +154,7 @@
             request: None,
             client_finished: false,
             backend_finished: false,
+            reset_by_client: false,
             client_end: None,
             expires_at: now + lifetime,
         };
@@ -232,6 +235,7 @@
         }
         entry.client_finished |= segment.flags.contains(Flags::FIN);
         if segment.flags.contains(Flags::RST) || entry.is_finished() {
+            entry.reset_by_client = !entry.is_finished();
             self.close(flow, now);
         }
         if opening { Match::Opening } else { Match::Known }
@@ -258,9 +262,13 @@
         entry.backend_seq = Some(segment.seq);
         entry.backend_finished |= segment.flags.contains(Flags::FIN);
         let finished = entry.is_finished();
+        let reset = segment.flags.contains(Flags::RST);
+        // A reset that the client meant for another handshake is ignored by the backend server, which goes on.
+        let ignores_reset = entry.reset_by_client && segment.data_len > 0 && !reset && !finished;
         // A backend server sends anything but its SYN+ACK only after the client's acknowledgment.
-        if entry.state != State::Closed && !handshake {
+        if (entry.state != State::Closed || ignores_reset) && !handshake {
             entry.state = State::Open;
+            entry.reset_by_client = false;
         }
         match entry.state {
             State::Opening => entry.expires_at = now + OPENING_TIMEOUT,
@@ -284,7 +292,6 @@
             self.service_ms += SERVICE_TIME_GAIN * (service_ms - self.service_ms);
             self.failed_ratio -= FAILURE_GAIN * self.failed_ratio;
         }
-        let reset = segment.flags.contains(Flags::RST);
         let overloaded = self.busy > slots * OVERLOAD_PER_SLOT;
         if reset && !overloaded && self.flows[&flow].request.is_some() {
             self.failed_ratio += FAILURE_GAIN * (1.0 - self.failed_ratio);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -19,8 +19,8 @@
 use crate::{
     MS, balancer,
     build::{
-        A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, data, flow,
-        from_backend, heartbeat, hop, members, open_flow, routes, syn,
+        A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, answer,
+        data, flow, from_backend, heartbeat, hop, members, open_flow, routes, syn,
     },
     resets,
 };
@@ -712,3 +712,27 @@
         assert_eq!(deny(&mut unaware, B, 1, now + 6 * MS), 0);
     }
 }
+
+/// A client may reset the handshake that another backend server has lost, and its packet reaches the owner. The owner's
+/// backend server ignores it and serves the flow on.
+#[test]
+fn a_reset_that_the_backend_server_ignores_must_not_end_the_flow() {
+    let now = Instant::now();
+    let mut agent = announced(A, now);
+    let peers = members(&[B], Stance::Open, now);
+    open_flow(&mut agent, 1, 500, now);
+    let mut out = Vec::new();
+    let reset = with_flags(
+        Flags::RST,
+        Segment {
+            data_len: 0,
+            ..data(1, 9_001)
+        },
+    );
+    agent.handle_client_packet(&reset, hop(BALANCER), &peers, now + 10 * MS, &mut out);
+    agent.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now + 20 * MS, &mut out);
+    agent.handle_backend_packet(&answer(1, 501, 1_000), now + 70 * MS, &mut out);
+    agent.tick(&peers, now + 3_200 * MS, &mut out);
+    let out = handle_data(&mut agent, 1, 1_501, &peers, now + 3_300 * MS);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+}
