Test that listed agents are waited for and dropped pointers are no denial

An agent that is only listed counts as silent after 1.2 s, for repeatable requests only; a pointer whose owner is removed starts a search. No code changes.

--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -1,6 +1,7 @@
 //! Evidence for resets: whose word ends a flow, how old it may be, and which agents are not asked.
 
 use std::{
+    collections::BTreeSet,
     net::Ipv4Addr,
     rc::Rc,
     time::{Duration, Instant},
@@ -19,8 +20,8 @@
 use crate::{
     MS, balancer,
     build::{
-        A, B, BALANCER, C, SERVICE, STARTED_MS, agent, agent_report, agent_started_at, agent_with_backend, answer,
-        data, flow, from_backend, heartbeat, hop, members, open_flow, routes, syn,
+        A, B, BALANCER, C, NON_IDEMPOTENT_SERVICE, SERVICE, STARTED_MS, agent, agent_report, agent_started_at,
+        agent_with_backend, answer, data, flow, from_backend, heartbeat, hop, members, open_flow, routes, syn,
     },
     resets,
 };
@@ -522,6 +523,47 @@
     assert_eq!(deny(&mut resumed, A, 1, later), 1);
 }
 
+/// An agent that is listed and has never reported is queried. Its silence counts like that of one that has reported: after
+/// 1.2 s, for repeatable requests only.
+#[test]
+fn an_agent_that_is_only_listed_is_waited_for() {
+    let start = Instant::now();
+    for (age_ms, service, expected) in [
+        (1_100, SERVICE, 0),
+        (1_300, SERVICE, 1),
+        (1_300, NON_IDEMPOTENT_SERVICE, 0),
+    ] {
+        let now = start + age_ms * MS;
+        let mut peers = members(&[B], Stance::Open, start);
+        peers.add_listed([(A, agent_report(9, 1, Stance::Joining))], start);
+        peers.record_report(B, agent_report(1, 2, Stance::Open), now);
+        let mut searching = announced(C, start);
+        let packet = Segment {
+            target: service,
+            ..data(1, 501)
+        };
+        let mut out = Vec::new();
+        searching.handle_client_packet(&packet, hop(BALANCER), &peers, now, &mut out);
+        assert!(queries(&out, A), "{out:?}");
+        searching.handle_note(B, Note::Deny(packet.flow_from_client()), now, &mut out);
+        assert_eq!(resets(&out), 0, "{out:?}");
+        searching.tick(&peers, now + 60 * MS, &mut out);
+        assert_eq!(resets(&out), expected, "{age_ms} {service}: {out:?}");
+    }
+}
+
+/// A pointer may be dropped before its flow ends: its owner is removed from the membership. The next packet starts a search.
+#[test]
+fn a_dropped_pointer_starts_a_search() {
+    let now = Instant::now();
+    let peers = members(&[A, B], Stance::Open, now);
+    let mut home = announced(C, now);
+    home.handle_note(A, Note::Point(vec![flow(1)]), now, &mut Vec::new());
+    home.remove_nodes(&BTreeSet::from([A]));
+    let out = handle_data(&mut home, 1, 501, &peers, now);
+    assert!(queries(&out, A) && queries(&out, B) && resets(&out) == 0, "{out:?}");
+}
+
 /// A search has expired while the process was paused for a short time. The answer of the owner waits in its socket, so
 /// the silence of the owner must not end the search.
 #[test]
