--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -564,6 +564,19 @@
     assert!(queries(&out, A) && queries(&out, B) && resets(&out) == 0, "{out:?}");
 }
 
+/// A process left, and the list shows the next one at its address. Its own reports are lost.
+#[test]
+fn a_listed_process_at_the_address_of_one_that_left_is_queried() {
+    let now = Instant::now();
+    let mut peers = members(&[A, B], Stance::Open, now);
+    peers.record_report(A, agent_report(1, 2, Stance::Leaving), now);
+    peers.add_listed([(A, agent_report(77, 1, Stance::Joining))], now + 500 * MS);
+    let mut searching = announced(C, now);
+    let out = handle_data(&mut searching, 1, 501, &peers, now + 600 * MS);
+    assert!(queries(&out, A), "{out:?}");
+    assert_eq!(deny(&mut searching, B, 1, now + 600 * MS), 0);
+}
+
 /// A search has expired while the process was paused for a short time. The answer of the owner waits in its socket, so
 /// the silence of the owner must not end the search.
 #[test]
