Reset no flow whose route the agent has not known before

An open flow could be reset by a restarted agent that read the routes of a peer that lags.

Only flows of a route that the agent has known are ended by its removal now, and queries tell the version as well.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -671,6 +671,7 @@
 
     /// Handles the query of another agent whether this one holds the flow of a packet.
     pub fn handle_query(&mut self, segment: &Segment, hop: Hop, now: Instant, out: &mut Vec<Effect>) {
+        self.newest_version = self.newest_version.max(hop.version);
         let flow = segment.flow_from_client();
         if self.accept_established(flow, segment, hop, now, out) {
             send_note(out, hop.sender, Note::Claim(flow));
@@ -885,11 +886,13 @@
     pub fn set_routes(&mut self, routes: Rc<Routes>, out: &mut Vec<Effect>) {
         self.routes = routes;
         let is_newest = self.routes.version >= self.newest_version;
+        let is_removed =
+            |address| is_newest && self.route_services.contains_key(&address) && self.routes.get(address).is_none();
         let dropped: Vec<_> = self
             .table
             .iter_mut()
             .map(|(flow, entry)| (flow, entry.client_ack))
-            .filter(|(flow, _)| is_newest && self.routes.get(flow.service).is_none())
+            .filter(|(flow, _)| is_removed(flow.service))
             .collect();
         for (flow, seq) in dropped {
             self.table.remove(flow);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -20,8 +20,9 @@
 use crate::{
     MS, balancer,
     build::{
-        A, B, BALANCER, C, NON_IDEMPOTENT_SERVICE, SERVICE, STARTED_MS, agent, agent_report, agent_started_at,
-        agent_with_backend, answer, data, flow, from_backend, heartbeat, hop, members, open_flow, routes, syn,
+        A, B, BALANCER, C, NON_IDEMPOTENT_SERVICE, SERVICE, SERVICE_NAME, STARTED_MS, agent, agent_report,
+        agent_started_at, agent_with_backend, answer, data, flow, from_backend, heartbeat, hop, members, open_flow,
+        routes, syn,
     },
     resets,
 };
@@ -791,3 +792,29 @@
     let out = handle_data(&mut agent, 1, 1_501, &peers, now + 3_300 * MS);
     assert!(out.contains(&Effect::Deliver), "{out:?}");
 }
+
+/// A restarted agent reads the routes of a peer that has not got the flow's route yet. The balancers use newer routes.
+#[test]
+fn routes_of_a_peer_that_lags_must_not_end_a_flow_of_newer_ones() {
+    let now = Instant::now();
+    for version in [1, 6] {
+        let identity = Identity {
+            ip: A,
+            data_centre: "east".into(),
+            service: SERVICE_NAME.into(),
+            started_ms: STARTED_MS + 60_000,
+        };
+        let mut restarted = Agent::new(identity, 770 * MS, now);
+        let mut out = Vec::new();
+        restarted.handle_query(&data(1, 501), Hop { version, ..hop(B) }, now, &mut out);
+        restarted.handle_backend_packet(&answer(1, 501, 1_000), now + 50 * MS, &mut out);
+        assert!(restarted.table.get(flow(1)).is_some());
+        out.clear();
+        for version in 4..6 {
+            let mut before = (*routes(version)).clone();
+            before.routes.remove(&SERVICE);
+            restarted.set_routes(Rc::new(before), &mut out);
+        }
+        assert_eq!(resets(&out), 0, "{out:?}");
+    }
+}
