--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -72,12 +72,10 @@
     pub homes: [Option<Ipv4Addr>; HOMES],
     /// Request in progress.
     request: Option<Request>,
-    /// Whether the client has sent a FIN.
-    client_finished: bool,
+    /// How the client has closed the flow.
+    client_closing: Option<Closing>,
     /// Whether the backend server has sent a FIN.
     backend_finished: bool,
-    /// Whether only a reset by the client has closed the flow.
-    reset_by_client: bool,
     /// Sequence number after the last byte that the client has sent. A retransmission does not exceed it.
     client_end: Option<u32>,
     expires_at: Instant,
@@ -94,6 +92,15 @@
     Opening,
 }
 
+/// How an end closes a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Closing {
+    /// By a FIN.
+    Finished,
+    /// By a reset.
+    Reset,
+}
+
 /// Request without a response so far.
 #[derive(Debug, Clone, Copy)]
 struct Request {
@@ -107,7 +114,7 @@
 impl Entry {
     /// Whether both ends have sent a FIN.
     fn is_finished(&self) -> bool {
-        self.client_finished && self.backend_finished
+        self.client_closing == Some(Closing::Finished) && self.backend_finished
     }
 
     /// Whether a packet of the client acknowledges the SYN+ACK of the backend server. Each backend server starts at a
@@ -152,9 +159,8 @@
             pointers_due_at: now,
             homes: [None; HOMES],
             request: None,
-            client_finished: false,
+            client_closing: None,
             backend_finished: false,
-            reset_by_client: false,
             client_end: None,
             expires_at: now + lifetime,
         };
@@ -233,9 +239,14 @@
                 failed: false,
             });
         }
-        entry.client_finished |= segment.flags.contains(Flags::FIN);
-        if segment.flags.contains(Flags::RST) || entry.is_finished() {
-            entry.reset_by_client = !entry.is_finished();
+        if segment.flags.contains(Flags::FIN) {
+            entry.client_closing = Some(Closing::Finished);
+        }
+        let finished = entry.is_finished();
+        if segment.flags.contains(Flags::RST) && !finished {
+            entry.client_closing = Some(Closing::Reset);
+        }
+        if segment.flags.contains(Flags::RST) || finished {
             self.close(flow, now);
         }
         if opening { Match::Opening } else { Match::Known }
@@ -264,11 +275,13 @@
         let finished = entry.is_finished();
         let reset = segment.flags.contains(Flags::RST);
         // A reset that the client meant for another handshake is ignored by the backend server, which goes on.
-        let ignores_reset = entry.reset_by_client && segment.data_len > 0 && !reset && !finished;
+        let ignores_reset = entry.client_closing == Some(Closing::Reset) && segment.data_len > 0 && !reset;
         // A backend server sends anything but its SYN+ACK only after the client's acknowledgment.
         if (entry.state != State::Closed || ignores_reset) && !handshake {
             entry.state = State::Open;
-            entry.reset_by_client = false;
+        }
+        if ignores_reset {
+            entry.client_closing = None;
         }
         match entry.state {
             State::Opening => entry.expires_at = now + OPENING_TIMEOUT,
