Simulate a cluster with faults in virtual time

The random sequences play three agents with instant delivery and complete memberships. The simulation runs 6 to 14 agents, 2 or 3 balancers, 80 clients and their backend servers over the decisions of state::steering, with the schedule of coordination::steering, planned work and unplanned faults. Its oracle knows which backend server holds each flow and checks resets of open flows, packets that only reach other backend servers, and flows that hang without one.

A violation counts if neither the agent of the flow's backend server nor the resetting node has had an unplanned impairment in the last 5 s; the others are listed apart.

--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod build;
+mod cluster;
 mod fuzz;
 mod lifetime;
 mod load;
