Reset no SYN that may have waited during a stall

Clients of open flows got resets from agents that had stood still. (Sequence number 0 keeps most clients from taking them.)

A first SYN waits in the socket of a stalled process, while a copy opens the flow elsewhere. When the process went on, an agent that could not take the SYN reset it, and a balancer forwarded it as a new one, which the next agent might reset. The first SYN is safe to reset only before its client sends a copy, after 200 ms. A process that has handled nothing for 150 ms, although it ticks each 100 ms, now takes the packets of the next 100 ms for late ones: a balancer drops first SYNs, and an agent refuses none.

The unit test of that name fails without the two checks. Open: a SYN that waits elsewhere, in a long queue of a link or of a slow process that handles packets all the while.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -150,6 +150,7 @@
     };
     node.unanswered_since.set(None);
     let now = Instant::now();
+    node.detect_stall(now);
     if !segment.flags.contains(Flags::RETURNED) {
         update_agent(node, packet, |agent, _, out| {
             agent.handle_backend_packet(&segment, now, out);
@@ -170,6 +171,7 @@
         return;
     };
     let now = Instant::now();
+    node.detect_stall(now);
     let via = Hop {
         sender: from,
         balancer: header.balancer,
--- a/crates/dogwoodpitch/src/coordination/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/balancer.rs
@@ -24,6 +24,7 @@
         return;
     };
     let now = Instant::now();
+    node.detect_stall(now);
     let decision = match &mut *node.state.borrow_mut() {
         State::Balancer(balancer) => balancer.handle_client_packet(&segment, &mut node.members.borrow_mut(), now),
         State::Agent(_) => return,
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -46,6 +46,10 @@
 /// A tick that is late by more than this means that the process was paused and has not read the reports of others.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(400);
 
+/// Time without a tick or a packet after which packets may have waited in the sockets for longer than a client waits for the
+/// answer to its first SYN.
+const STALL_THRESHOLD: Duration = Duration::from_millis(150);
+
 /// State of the node's role.
 #[derive(Debug)]
 pub(super) enum State {
@@ -88,6 +92,8 @@
     reports: Cell<u64>,
     /// Value at the last tick.
     last_life: Cell<Life>,
+    /// Time of the last tick or packet.
+    active_at: Cell<Instant>,
 }
 
 /// Runs a node until it receives a stop request.
@@ -149,11 +155,25 @@
                 stance: Stance::Joining,
                 vacant: false,
             }),
+            active_at: Cell::new(now),
             settings,
             platform,
         }))
     }
 
+    /// Detects a stall of this process. Called before a packet is handled, because packets that have waited in a socket may
+    /// be handled before the next tick.
+    pub(super) fn detect_stall(&self, now: Instant) {
+        let active_at = self.active_at.replace(now);
+        if now.saturating_duration_since(active_at) <= STALL_THRESHOLD {
+            return;
+        }
+        match &mut *self.state.borrow_mut() {
+            State::Balancer(balancer) => balancer.handle_stall(now),
+            State::Agent(agent) => agent.handle_stall(now),
+        }
+    }
+
     /// Routes in force.
     pub(super) fn routes(&self) -> Rc<Table> {
         self.config.routes()
@@ -446,6 +466,7 @@
 
 /// Does the periodic work of one tick.
 fn tick(node: &Rc<Node>, ticks: u64, now: Instant) {
+    node.detect_stall(now);
     let gone = node.members.borrow_mut().expire(now);
     for ip in &gone {
         log::info!(event = "member.gone", node:% = ip; "silent or leaving node removed");
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -38,6 +38,8 @@
 const JOIN_DELAY: Duration = Duration::from_millis(600);
 /// Time after which an agent that could not be announced, because the store is down, relies on its greetings alone.
 const UNANNOUNCED_JOIN_DELAY: Duration = Duration::from_secs(3);
+/// Time that a process needs at most to read the packets that have waited during a stall.
+pub(super) const LATE_PACKETS_DURATION: Duration = Duration::from_millis(100);
 /// Maximum number of flows in one note, which must fit into a datagram.
 const MAX_FLOWS_PER_NOTE: usize = 80;
 
@@ -195,6 +197,8 @@
     announced: bool,
     /// From when on the reports of the peers are recent again after a pause of this process.
     reports_recent_at: Instant,
+    /// Until when packets may have waited in the socket since before a stall of this process.
+    packets_late_until: Instant,
     stopping: bool,
     /// Backend server of the agent.
     pub backend: Backend,
@@ -239,6 +243,7 @@
             table_complete: false,
             announced: false,
             reports_recent_at: now,
+            packets_late_until: now,
             stopping: false,
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
@@ -297,6 +302,11 @@
         self.searches.abandon_running();
     }
 
+    /// Handles a short stall of this process that has just ended.
+    pub fn handle_stall(&mut self, now: Instant) {
+        self.packets_late_until = now + LATE_PACKETS_DURATION;
+    }
+
     /// Whether this agent knows all peers that may hold a flow. In a mass start, peers take flows before others know them.
     /// Without routes, the services of a flow are not known.
     fn knows_all_peers(&self, members: &Members, now: Instant) -> bool {
@@ -519,7 +529,8 @@
     }
 
     /// Forwards a SYN to a lightly loaded peer, or resets it if no backend server accepts it. A copy is not reset,
-    /// because an agent that accepts no new flows any more may have accepted an earlier one.
+    /// because an agent that accepts no new flows any more may have accepted an earlier one. Neither is a late SYN, whose
+    /// copy may have been accepted.
     fn redirect_syn(&self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.flow_from_client();
         match self.choose_peer(flow, members, now) {
@@ -533,7 +544,9 @@
             None if !members.agents(&self.service).all(|member| member.refuses_flows(now)) => {
                 log(out, flow, "drop: agents are silent");
             }
-            _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
+            _ if segment.ack > 0 || now < self.packets_late_until => {
+                log(out, flow, "drop: no backend server takes the flow");
+            }
             _ => reset(out, flow, 0, Evidence::SynRefused),
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 
 use crate::state::steering::{
+    agent::LATE_PACKETS_DURATION,
     member::{Member, Members},
     placement::{self, Candidate},
     rank,
@@ -60,6 +61,8 @@
     data_centre: Bytes,
     capacity: usize,
     flows: HashMap<Flow, Entry>,
+    /// Until when packets may have waited in the socket since before a stall of this process.
+    packets_late_until: Option<Instant>,
     /// Routes in force.
     pub routes: Rc<Table>,
 }
@@ -71,10 +74,16 @@
             data_centre,
             capacity,
             flows: HashMap::new(),
+            packets_late_until: None,
             routes: Rc::default(),
         }
     }
 
+    /// Handles a short stall of this process that has just ended.
+    pub fn handle_stall(&mut self, now: Instant) {
+        self.packets_late_until = Some(now + LATE_PACKETS_DURATION);
+    }
+
     /// Decides where to send a client's packet.
     pub fn handle_client_packet(&mut self, segment: &Segment, members: &mut Members, now: Instant) -> Decision {
         if segment.is_initial_syn() {
@@ -91,6 +100,10 @@
         let Some(route) = self.routes.get(flow.service) else {
             return Decision::Drop { reason: "no_route" };
         };
+        if segment.ack == 0 && self.packets_late_until.is_some_and(|until| now < until) {
+            // The agent would take the SYN for a new one and might reset it, although a copy has opened the flow.
+            return Decision::Drop { reason: "late_syn" };
+        }
         let service = route.service_for(flow);
         let previous = self.flows.get(&flow).map(|entry| entry.agent);
         let open = members.iter().filter(|member| member.is_open(service, now)).count();
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -818,3 +818,25 @@
         assert_eq!(resets(&out), 0, "{out:?}");
     }
 }
+
+/// A first SYN waits in the socket of a process that stands still. A copy has opened the flow meanwhile.
+#[test]
+fn a_syn_that_is_read_late_must_not_reset_its_flow() {
+    let now = Instant::now();
+    let mut peers = members(&[A, B], Stance::Open, now);
+    let mut stalled = balancer();
+    stalled.handle_stall(now);
+    for (copy, age_ms, dropped) in [(0, 0, true), (1, 0, false), (0, 100, false)] {
+        let decision = stalled.handle_client_packet(&syn(1, copy), &mut peers, now + age_ms * MS);
+        assert_eq!(matches!(decision, Decision::Drop { .. }), dropped, "{decision:?}");
+    }
+    let refusing = members(&[A, B], Stance::Draining, now);
+    let mut draining = announced(C, now);
+    draining.handle_heartbeat(&heartbeat(1, 2, true), now, &mut Vec::new());
+    draining.handle_stall(now);
+    for (age_ms, expected) in [(0, 0), (100, 1)] {
+        let mut out = Vec::new();
+        draining.handle_client_packet(&syn(1, 0), hop(BALANCER), &refusing, now + age_ms * MS, &mut out);
+        assert_eq!(resets(&out), expected, "{out:?}");
+    }
+}
