Divert flows for unanswered greetings only while an agent starts

New flows took up to three detours in a scale-in.

a_listed_agent_that_is_gone_must_not_divert_flows fails before and passes now.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -286,7 +286,8 @@
     /// has found in a list has not reported to it yet.
     fn is_unknown_to_peers(&self, members: &Members, now: Instant) -> bool {
         let unheard = |member: &Member| !member.heard && !member.is_unreachable(now);
-        (!self.announced && now < self.joined_at()) || members.agents(&self.service).any(unheard)
+        let starting = now < self.started_at + UNANNOUNCED_JOIN_DELAY;
+        starting && (!self.announced || members.agents(&self.service).any(unheard))
     }
 
     /// Records that other nodes can find this agent in the store, and that it knows all nodes that were announced
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -840,3 +840,18 @@
         assert_eq!(resets(&out), expected, "{out:?}");
     }
 }
+
+/// The list of nodes still shows an agent that has left. One that all peers have known for long must not forward its new
+/// flows for that, and neither must all of them at once.
+#[test]
+fn a_listed_agent_that_is_gone_must_not_divert_flows() {
+    let start = Instant::now();
+    let now = start + 30_000 * MS;
+    let mut agent = announced(A, start);
+    agent.handle_heartbeat(&heartbeat(1, 30, false), now, &mut Vec::new());
+    let mut peers = members(&[B], Stance::Open, now);
+    peers.add_listed([(C, agent_report(9, 1, Stance::Open))], now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now + 100 * MS, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+}
