Complete the table only by a lifetime that began with the agent

An open flow could be reset after a roll of its agent, although its backend server served it.

The second lifetime that an agent heard completed its table: the agent denied all flows that it had not seen. If the first heartbeat was a late one of the former lifetime, the second one is older than the agent. Both are now checked alike, by clock and by the number of the heartbeat.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -344,7 +344,7 @@
             return outcome;
         }
         if let Some(last_heartbeat_at) = last_heartbeat_at {
-            self.table_complete = true;
+            self.table_complete |= self.has_seen_all_flows(heartbeat, now);
             // Flows since the last heartbeat of the previous lifetime may belong to the new one, unless they are older than
             // that can be. If they do not, the backend server returns their packets.
             let before = |age| now.checked_sub(age).unwrap_or(self.started_at);
@@ -365,8 +365,8 @@
         outcome
     }
 
-    /// Whether a backend server that is heard for the first time has started with this process or later, and thus has
-    /// opened no flow unseen by it. The clock may have been set in between, so its heartbeats must not have begun before
+    /// Whether a lifetime that is heard for the first time has started with this process or later, and thus has opened no
+    /// flow unseen by it. The clock may have been set in between, so its heartbeats must not have begun before
     /// this process either.
     fn has_seen_all_flows(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
         let running_for = now.saturating_duration_since(self.started_at);
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -855,3 +855,27 @@
     agent.handle_client_packet(&syn(1, 0), hop(BALANCER), &peers, now + 100 * MS, &mut out);
     assert!(out.contains(&Effect::Deliver), "{out:?}");
 }
+
+/// A heartbeat of a former lifetime arrives after its successor has started, and its agent has restarted meanwhile. The next
+/// heartbeat is the first one that the agent hears of the current lifetime, which is older than the agent.
+#[test]
+fn a_delayed_heartbeat_of_a_former_lifetime_must_not_complete_the_table() {
+    let start = Instant::now();
+    let now = start + 5_000 * MS;
+    let mut restarted = agent_started_at(A, start, STARTED_MS + 60_000);
+    let mut out = Vec::new();
+    restarted.handle_heartbeat(&heartbeat(1, 30, false), start + 100 * MS, &mut out);
+    restarted.handle_heartbeat(&heartbeat(2, 40, false), start + 600 * MS, &mut out);
+    out.clear();
+    restarted.handle_query(&data(1, 501), hop(B), now, &mut out);
+    let denies = out.iter().any(|effect| {
+        matches!(
+            effect,
+            Effect::SendNote {
+                note: Note::Deny(_),
+                ..
+            }
+        )
+    });
+    assert!(!denies, "{out:?}");
+}
