Conclude no search with routes that are older than a balancer's

An open flow could be reset by an agent whose routes lag, if its route had led to a service that they do not name.

Such an agent queries too few services. A search has no conclusion now until the agent has the newest routes that a balancer has used towards it.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -309,10 +309,11 @@
     }
 
     /// Whether this agent knows all peers that may hold a flow. In a mass start, peers take flows before others know them.
-    /// Without routes, the services of a flow are not known.
+    /// With older routes than those of a balancer, the services of a flow are not known.
     fn knows_all_peers(&self, members: &Members, now: Instant) -> bool {
         let settled = now >= self.joined_at() || self.has_open_peer(members, now);
-        self.announced && self.routes.is_loaded() && settled && now >= self.reports_recent_at
+        let knows_services = self.routes.is_loaded() && self.routes.version >= self.newest_version;
+        self.announced && knows_services && settled && now >= self.reports_recent_at
     }
 
     fn has_open_peer(&self, members: &Members, now: Instant) -> bool {
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -879,3 +879,22 @@
     });
     assert!(!denies, "{out:?}");
 }
+
+/// The routes of the searching agent are older than those of the balancer, so it does not know all services of the flow.
+#[test]
+fn an_agent_whose_routes_lag_must_not_speak_for_all() {
+    let start = Instant::now();
+    let now = start + 10_000 * MS;
+    let mut lagging = announced(B, start);
+    let mut peers = members(&[A], Stance::Open, now);
+    let mut other = agent_report(2, 1, Stance::Open);
+    other.service = "other".into();
+    peers.record_report(C, other, now);
+    let mut out = Vec::new();
+    let newer = Hop {
+        version: 3,
+        ..hop(BALANCER)
+    };
+    lagging.handle_client_packet(&data(1, 501), newer, &peers, now, &mut out);
+    assert!(queries(&out, C) || deny(&mut lagging, A, 1, now) == 0, "{out:?}");
+}
