Forward no SYN that may have waited during a stall

A first SYN that an agent read late was safe from a reset by this agent only. It could be forwarded and refused by the next one, or be returned by the backend server later than 100 ms after the stall. It is now dropped unless it is delivered, and one that is returned is dropped as well, like one that has waited in the queue.

--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -446,11 +446,19 @@
             }
         }
         let balancer = Some(hop.balancer);
+        let is_late = segment.ack == 0 && now < self.packets_late_until;
         let accepted = known || (accepts && self.table.insert(flow, State::Opening, hop.hops, balancer, now));
+        if !accepted && is_late {
+            log(out, flow, "drop: SYN may have waited");
+            return;
+        }
         if !accepted {
             self.redirect_syn(segment, hop.origin(), members, now, out);
             return;
         }
+        if !known && is_late {
+            self.table.mark_waited(flow);
+        }
         self.searches.record_owner(flow);
         out.push(Effect::Deliver);
         if hop.hops > 0 || hop.guessed {
@@ -531,8 +539,7 @@
     }
 
     /// Forwards a SYN to a lightly loaded peer, or resets it if no backend server accepts it. A copy is not reset,
-    /// because an agent that accepts no new flows any more may have accepted an earlier one. Neither is a late SYN, whose
-    /// copy may have been accepted.
+    /// because an agent that accepts no new flows any more may have accepted an earlier one.
     fn redirect_syn(&self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
         let flow = segment.flow_from_client();
         match self.choose_peer(flow, members, now) {
@@ -546,9 +553,7 @@
             None if !members.agents(&self.service).all(|member| member.refuses_flows(now)) => {
                 log(out, flow, "drop: agents are silent");
             }
-            _ if segment.ack > 0 || now < self.packets_late_until => {
-                log(out, flow, "drop: no backend server takes the flow");
-            }
+            _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
             _ => reset(out, flow, 0, Evidence::SynRefused),
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -62,7 +62,7 @@
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
     pub hops: u8,
-    /// Whether the SYN waited in the queue of this agent.
+    /// Whether the SYN waited in the queue of this agent, or may have waited in its socket.
     pub waited: bool,
     /// When the backend server answered the SYN. Before that, when the flow was added to the table.
     pub opened_at: Instant,
@@ -171,10 +171,15 @@
     /// Adds a flow whose SYN has waited in the queue. Returns `false` if the table is full.
     pub fn insert_waited(&mut self, syn: &Syn, now: Instant) -> bool {
         let inserted = self.insert(syn.flow, State::Opening, syn.hops, Some(syn.balancer), now);
-        if let Some(entry) = self.flows.get_mut(&syn.flow) {
+        self.mark_waited(syn.flow);
+        inserted
+    }
+
+    /// Records that the SYN of a flow has waited.
+    pub fn mark_waited(&mut self, flow: Flow) {
+        if let Some(entry) = self.flows.get_mut(&flow) {
             entry.waited = true;
         }
-        inserted
     }
 
     /// Removes a flow.
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -898,3 +898,49 @@
     lagging.handle_client_packet(&data(1, 501), newer, &peers, now, &mut out);
     assert!(queries(&out, C) || deny(&mut lagging, A, 1, now) == 0, "{out:?}");
 }
+
+/// An agent that has stood still forwards a first SYN that has waited in its socket, and the next agent refuses it.
+#[test]
+fn a_late_syn_that_is_forwarded_must_not_reset_its_flow() {
+    let now = Instant::now();
+    let mut stalled = announced(C, now);
+    stalled.handle_heartbeat(&heartbeat(1, 2, true), now, &mut Vec::new());
+    stalled.handle_stall(now);
+    let mut out = Vec::new();
+    stalled.handle_client_packet(
+        &syn(1, 0),
+        hop(BALANCER),
+        &members(&[A], Stance::Open, now),
+        now,
+        &mut out,
+    );
+    let Some(hops) = out.iter().find_map(|effect| match effect {
+        Effect::Forward { to: A, hops, .. } => Some(*hops),
+        _ => None,
+    }) else {
+        return;
+    };
+    // The stance of the next agent has just changed.
+    let mut draining = announced(A, now);
+    draining.handle_heartbeat(&heartbeat(1, 2, true), now, &mut Vec::new());
+    out.clear();
+    let forwarded = Hop { hops, ..hop(C) };
+    let refusing = members(&[B, C], Stance::Draining, now);
+    draining.handle_client_packet(&syn(1, 0), forwarded, &refusing, now + 5 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
+
+/// A backend server returns a late first SYN when the agent has read all packets that have waited.
+#[test]
+fn a_late_syn_that_is_returned_must_not_reset_its_flow() {
+    let now = Instant::now();
+    let mut stalled = announced(C, now);
+    stalled.handle_stall(now);
+    let refusing = members(&[A, B], Stance::Draining, now);
+    let mut out = Vec::new();
+    stalled.handle_client_packet(&syn(1, 0), hop(BALANCER), &refusing, now + 90 * MS, &mut out);
+    assert!(out.contains(&Effect::Deliver), "{out:?}");
+    out.clear();
+    stalled.handle_returned_packet(&returned(syn(1, 0)), &refusing, now + 101 * MS, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
