Tell a restarted agent that its backend server was draining after a graceful stop, too

A draining backend server could get new flows, or its open flows be reset, after a roll of its agent.

Peers tell a restarted agent that its backend server was draining if that was the agent's last stance. An agent that is stopped reports its restart last, so after a roll nobody told it. Until the next heartbeat it took new flows, or, with the port closed at the end of a drain, denied the flows that it had not seen. Members now keep whether the backend server was draining.

--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -44,6 +44,8 @@
     unreachable_at: Instant,
     remove_at: Instant,
     restarting_until: Option<Instant>,
+    /// Whether the backend server of an agent was draining before the agent announced a restart, or is.
+    backend_draining: bool,
 }
 
 /// Change that a report brings.
@@ -75,6 +77,7 @@
             ip,
             busy: report.load.busy.into(),
             restarting_until: restarting_until(&report, now),
+            backend_draining: report.stance == Stance::Draining,
             report,
             heard: false,
             pending_placements: 0,
@@ -94,12 +97,19 @@
         }
         let same_process = self.report.incarnation == listed.incarnation;
         if same_process && listed.number > self.report.number {
-            self.restarting_until = restarting_until(&listed, now);
-            self.report = listed;
+            self.set_report(listed, now);
         }
         false
     }
 
+    fn set_report(&mut self, report: Report, now: Instant) {
+        self.restarting_until = restarting_until(&report, now);
+        if report.stance != Stance::Restarting {
+            self.backend_draining = report.stance == Stance::Draining;
+        }
+        self.report = report;
+    }
+
     fn record_contact(&mut self, now: Instant) {
         self.heard = true;
         self.heard_at = now;
@@ -185,7 +195,7 @@
         }
         let change = if !same_process || !known.heard {
             Change::New {
-                was_draining: known.report.stance == Stance::Draining,
+                was_draining: known.backend_draining,
             }
         } else if known.report.stance != report.stance {
             Change::Stance
@@ -195,7 +205,6 @@
         if change != Change::Load {
             self.generation += 1;
         }
-        known.restarting_until = restarting_until(&report, now);
         known.pending_placements = 0;
         let busy = f64::from(report.load.busy);
         let gain = if matches!(change, Change::New { .. }) {
@@ -204,7 +213,7 @@
             BUSY_GAIN
         };
         known.busy += gain * (busy - known.busy);
-        known.report = report;
+        known.set_report(report, now);
         known.record_contact(now);
         change
     }
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -11,7 +11,7 @@
     agent::{Agent, Effect, Hop, Identity, Note},
     balancer::Decision,
     evidence::Evidence,
-    member::Members,
+    member::{Change, Members},
     report::Stance,
     segment::{Flags, Segment},
     table::State,
@@ -944,3 +944,13 @@
     stalled.handle_returned_packet(&returned(syn(1, 0)), &refusing, now + 101 * MS, &mut out);
     assert_eq!(resets(&out), 0, "{out:?}");
 }
+
+/// An agent announces its restart while its backend server is draining. Its next process must learn that.
+#[test]
+fn an_announced_restart_keeps_the_draining_of_the_backend_server() {
+    let now = Instant::now();
+    let mut peers = members(&[A], Stance::Draining, now);
+    peers.record_report(A, agent_report(1, 2, Stance::Restarting), now);
+    let change = peers.record_report(A, agent_report(7, 1, Stance::Joining), now);
+    assert_eq!(change, Change::New { was_draining: true });
+}
