Take packets for late ones after 180 ms without a tick

First SYNs could be dropped at a quiet balancer whose tick was 50 ms late: it had handled nothing for 150 ms. A SYN is too old only if its client has sent a copy, after 200 ms. The bound is 180 ms now, and a VM that was suspended counts as well: the boot clock shows it at the next tick.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -46,9 +46,9 @@
 /// A tick that is late by more than this means that the process was paused and has not read the reports of others.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(400);
 
-/// Time without a tick or a packet after which packets may have waited in the sockets for longer than a client waits for the
-/// answer to its first SYN.
-const STALL_THRESHOLD: Duration = Duration::from_millis(150);
+/// Time without a tick or a packet after which packets may have waited in the sockets for so long that clients have sent
+/// copies of their SYNs, which they do after 200 ms.
+const STALL_THRESHOLD: Duration = Duration::from_millis(180);
 
 /// State of the node's role.
 #[derive(Debug)]
@@ -165,9 +165,12 @@
     /// be handled before the next tick.
     pub(super) fn detect_stall(&self, now: Instant) {
         let active_at = self.active_at.replace(now);
-        if now.saturating_duration_since(active_at) <= STALL_THRESHOLD {
-            return;
+        if now.saturating_duration_since(active_at) > STALL_THRESHOLD {
+            self.handle_stall(now);
         }
+    }
+
+    fn handle_stall(&self, now: Instant) {
         match &mut *self.state.borrow_mut() {
             State::Balancer(balancer) => balancer.handle_stall(now),
             State::Agent(agent) => agent.handle_stall(now),
@@ -446,6 +449,7 @@
         if paused > PAUSE_THRESHOLD {
             log::warn!(event = "node.stalled", ms = millis(paused); "the process was paused");
             node.members.borrow_mut().extend_deadlines(now);
+            node.handle_stall(now);
             agent::update_agent(node, &[], |agent, _, _| agent.handle_pause(now));
             self.due_at = now;
         }
