--- a/crates/dogwoodpitch/tests/steering/cluster/backend.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/backend.rs
@@ -133,6 +133,7 @@
 impl World {
     /// Starts a backend server, with a new lifetime.
     pub(super) fn start_backend(&mut self, ip: Ipv4Addr, same_id: bool) {
+        self.last_change = self.now;
         let lifetime = self.next_number();
         let previous = self.last_backend_ids.get(&ip).copied();
         let id = previous.filter(|_| same_id).unwrap_or(lifetime);
@@ -183,6 +184,7 @@
     /// Ends the lifetime of a backend server.
     pub(super) fn end_backend(&mut self, ip: Ipv4Addr, reason: &str) {
         if let Some(backend) = self.backends.remove(&ip) {
+            self.last_change = self.now;
             self.note(ip, || {
                 format!("backend server ends: lifetime {}, {reason}", backend.lifetime)
             });
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -121,6 +121,7 @@
 #[expect(clippy::struct_excessive_bools, reason = "the flags are independent")]
 pub(super) struct Node {
     pub(super) process: u64,
+    pub(super) started_at: Time,
     data_centre: Bytes,
     state: State,
     members: Members,
@@ -174,9 +175,11 @@
             }
             Role::Balancer => State::Balancer(Balancer::new(data_centre.clone(), 10_000)),
         };
+        self.last_change = self.now;
         let process = self.next_number();
         let node = Node {
             process,
+            started_at: self.now,
             data_centre,
             state,
             members: Members::default(),
@@ -218,6 +221,7 @@
     /// Ends the process of a node at once.
     pub(super) fn kill_node(&mut self, ip: Ipv4Addr, reason: &str) {
         if self.nodes.remove(&ip).is_some() {
+            self.last_change = self.now;
             self.note(ip, || format!("process ends: {reason}"));
             let delay = self.random.range(500 * MS, 1_000 * MS);
             self.schedule(delay, Event::Unrotate(ip));
--- a/crates/dogwoodpitch/tests/steering/reset.rs
+++ b/crates/dogwoodpitch/tests/steering/reset.rs
@@ -954,3 +954,65 @@
     let change = peers.record_report(A, agent_report(7, 1, Stance::Joining), now);
     assert_eq!(change, Change::New { was_draining: true });
 }
+
+/// While an agent restarts, a search for one of its flows cannot end. If it probes the other backend servers all the same,
+/// three or more of the flow's packets reach them and none its own for 2 s (cluster, seed 78).
+#[test]
+fn a_search_during_a_restart_must_not_probe_other_backend_servers() {
+    let now = Instant::now();
+    let mut agent = agent_started_at(A, now, STARTED_MS + 60_000);
+    agent.mark_announced();
+    agent.handle_heartbeat(&heartbeat(1, 70, false), now, &mut Vec::new());
+    let mut members = members(&[B, C], Stance::Open, now);
+    members.record_report(B, agent_report(1, 2, Stance::Restarting), now);
+    let mut out = Vec::new();
+    agent.handle_client_packet(&data(1, 44), hop(BALANCER), &members, now, &mut out);
+    assert!(!out.contains(&Effect::Deliver), "{out:?}");
+}
+
+/// A SYN that was forwarded may be late: its client sends a copy after 200 ms and opens the flow with that (cluster, seed
+/// 15).
+#[test]
+fn a_late_syn_must_not_reset_the_flow_of_its_copy() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    agent.handle_heartbeat(&heartbeat(1, 2, true), now, &mut Vec::new());
+    let mut out = Vec::new();
+    let mut forwarded = hop(B);
+    forwarded.hops = 3;
+    agent.handle_client_packet(&syn(1, 0), forwarded, &members(&[B], Stance::Open, now), now, &mut out);
+    assert_eq!(resets(&out), 0, "{out:?}");
+}
+
+/// A backend server started shortly before the process of its agent, and has opened a flow through the process before.
+#[test]
+fn flows_opened_through_the_previous_process_are_probed() {
+    let now = Instant::now();
+    let mut restarted = agent_started_at(A, now, STARTED_MS + 400);
+    let mut out = Vec::new();
+    restarted.handle_heartbeat(&heartbeat(1, 1, false), now + 100 * MS, &mut out);
+    restarted.handle_query(&data(1, 501), hop(B), now + 110 * MS, &mut out);
+    assert_eq!(out, [Effect::Deliver], "the backend server must be probed");
+}
+
+/// An operator has moved a route to another service, and an agent of that starts afterwards. It has not seen the former
+/// routes, and the agents of the former service still hold flows.
+#[test]
+fn an_agent_that_starts_after_a_route_has_moved_queries_the_former_service() {
+    let now = Instant::now();
+    let identity = Identity {
+        ip: C,
+        data_centre: "east".into(),
+        service: "other".into(),
+        started_ms: STARTED_MS,
+    };
+    let mut started = Agent::new(identity, 770 * MS, now);
+    let mut moved = (*routes(2)).clone();
+    moved.routes.get_mut(&SERVICE).unwrap().shares[0].service = "other".into();
+    let mut out = Vec::new();
+    started.set_routes(Rc::new(moved), &mut out);
+    started.handle_heartbeat(&heartbeat(1, 1, false), now, &mut out);
+    started.mark_announced();
+    let out = handle_data(&mut started, 1, 501, &members(&[A, B], Stance::Open, now), now);
+    assert!(queries(&out, A) && queries(&out, B), "{out:?}");
+}
