Name late SYNs and the end of a lifetime's flows for what they mean

No change of behaviour: waited becomes may_be_late, recent and oldest become ended_until and earliest_start; comments say how a pause differs from a stall.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -161,8 +161,8 @@
         }))
     }
 
-    /// Detects a stall of this process. Called before a packet is handled, because packets that have waited in a socket may
-    /// be handled before the next tick.
+    /// Detects a stall of this process. Called at each tick, and before a packet is handled, because packets that have waited
+    /// in a socket may be handled before the next tick.
     pub(super) fn detect_stall(&self, now: Instant) {
         let active_at = self.active_at.replace(now);
         if now.saturating_duration_since(active_at) > STALL_THRESHOLD {
--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -38,7 +38,7 @@
 const JOIN_DELAY: Duration = Duration::from_millis(600);
 /// Time after which an agent that could not be announced, because the store is down, relies on its greetings alone.
 const UNANNOUNCED_JOIN_DELAY: Duration = Duration::from_secs(3);
-/// Time that a process needs at most to read the packets that have waited during a stall.
+/// Time that a process takes at most to read the packets that have waited in its socket during a stall.
 pub(super) const LATE_PACKETS_DURATION: Duration = Duration::from_millis(100);
 /// Maximum number of flows in one note, which must fit into a datagram.
 const MAX_FLOWS_PER_NOTE: usize = 80;
@@ -197,7 +197,7 @@
     announced: bool,
     /// From when on the reports of the peers are recent again after a pause of this process.
     reports_recent_at: Instant,
-    /// Until when packets may have waited in the socket since before a stall of this process.
+    /// Until when packets may have waited in the socket during a stall of this process.
     packets_late_until: Instant,
     stopping: bool,
     /// Backend server of the agent.
@@ -296,14 +296,15 @@
         self.announced = true;
     }
 
-    /// Handles a pause of this process that has just ended. It has missed the reports of its peers and may not know agents
-    /// that were added meanwhile.
+    /// Handles a pause of this process that has just ended and was so long that it has missed reports of its peers. It may
+    /// not know agents that were added meanwhile.
     pub fn handle_pause(&mut self, now: Instant) {
         self.reports_recent_at = now + SUSPECT_AFTER;
         self.searches.abandon_running();
     }
 
-    /// Handles a short stall of this process that has just ended.
+    /// Handles a stall of this process that has just ended. It may be too short for a [pause](Self::handle_pause), but
+    /// clients have sent copies of SYNs that have waited in its socket.
     pub fn handle_stall(&mut self, now: Instant) {
         self.packets_late_until = now + LATE_PACKETS_DURATION;
     }
@@ -350,13 +351,10 @@
             // that can be. If they do not, the backend server returns their packets.
             let before = |age| now.checked_sub(age).unwrap_or(self.started_at);
             let first_heartbeat_delay = self.backend.max_first_heartbeat_delay();
-            let recent = before(first_heartbeat_delay).min(last_heartbeat_at);
-            let oldest = before(
-                self.backend
-                    .heartbeating_for(heartbeat)
-                    .saturating_add(first_heartbeat_delay),
-            );
-            self.close_flows(|entry| entry.opened_at <= recent.max(oldest), out);
+            let heartbeating_for = self.backend.heartbeating_for(heartbeat);
+            let earliest_start = before(heartbeating_for.saturating_add(first_heartbeat_delay));
+            let ended_until = before(first_heartbeat_delay).min(last_heartbeat_at).max(earliest_start);
+            self.close_flows(|entry| entry.opened_at <= ended_until, out);
         } else {
             self.table_complete = self.has_seen_all_flows(heartbeat, now);
             if self.table_complete {
@@ -457,7 +455,7 @@
             return;
         }
         if !known && is_late {
-            self.table.mark_waited(flow);
+            self.table.mark_late(flow);
         }
         self.searches.record_owner(flow);
         out.push(Effect::Deliver);
@@ -506,7 +504,7 @@
         out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
         while open && let Some(syn) = self.queue.next(self.work(now)) {
             let flow = syn.flow;
-            if self.table.insert_waited(&syn, now) {
+            if self.table.insert_late(&syn, now) {
                 self.searches.record_owner(flow);
                 out.push(Effect::Release { flow });
                 send_note(out, syn.balancer, Note::Learn(flow));
@@ -721,7 +719,7 @@
             }
             self.table.remove(flow);
             self.backend_full_until = now + FULL_BACKOFF;
-            if segment.ack == 0 && entry.is_some_and(|entry| entry.waited) {
+            if segment.ack == 0 && entry.is_some_and(|entry| entry.may_be_late) {
                 // The client's copy is due. It may be accepted while this SYN is forwarded and finally reset.
                 log(out, flow, "drop: waiting SYN was returned");
                 return;
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -61,7 +61,7 @@
     data_centre: Bytes,
     capacity: usize,
     flows: HashMap<Flow, Entry>,
-    /// Until when packets may have waited in the socket since before a stall of this process.
+    /// Until when packets may have waited in the socket during a stall of this process.
     packets_late_until: Option<Instant>,
     /// Routes in force.
     pub routes: Rc<Table>,
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Handles a short stall of this process that has just ended.
+    /// Handles a stall of this process that has just ended.
     pub fn handle_stall(&mut self, now: Instant) {
         self.packets_late_until = Some(now + LATE_PACKETS_DURATION);
     }
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -44,7 +44,7 @@
     unreachable_at: Instant,
     remove_at: Instant,
     restarting_until: Option<Instant>,
-    /// Whether the backend server of an agent was draining before the agent announced a restart, or is.
+    /// Whether the backend server of an agent was draining by the last report that tells it. That of a restart does not.
     backend_draining: bool,
 }
 
@@ -162,7 +162,7 @@
 
     /// Whether an agent holds no flow by its own report: it is leaving, or it has recently reported that it has no
     /// backend server. A listed report may be out of date, and so may the report of no backend server once the agent is
-    /// suspect.
+    /// suspect. Flows that are younger than the report are not known to it.
     pub fn holds_no_flows(&self, now: Instant) -> bool {
         let vacant = self.report.stance == Stance::Leaving || (self.report.vacant && self.is_alive(now));
         self.heard && vacant
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -62,8 +62,9 @@
     pub balancer: Option<Ipv4Addr>,
     /// Number of times that agents forwarded the SYN before it arrived here.
     pub hops: u8,
-    /// Whether the SYN waited in the queue of this agent, or may have waited in its socket.
-    pub waited: bool,
+    /// Whether the client may have sent a copy of the SYN before it was delivered, because the SYN has waited in the queue
+    /// of this agent, or in its socket.
+    pub may_be_late: bool,
     /// When the backend server answered the SYN. Before that, when the flow was added to the table.
     pub opened_at: Instant,
     /// When pointers to this flow must next be sent to all homes.
@@ -154,7 +155,7 @@
             backend_seq: None,
             balancer,
             hops,
-            waited: false,
+            may_be_late: false,
             opened_at: now,
             pointers_due_at: now,
             homes: [None; HOMES],
@@ -169,16 +170,16 @@
     }
 
     /// Adds a flow whose SYN has waited in the queue. Returns `false` if the table is full.
-    pub fn insert_waited(&mut self, syn: &Syn, now: Instant) -> bool {
+    pub fn insert_late(&mut self, syn: &Syn, now: Instant) -> bool {
         let inserted = self.insert(syn.flow, State::Opening, syn.hops, Some(syn.balancer), now);
-        self.mark_waited(syn.flow);
+        self.mark_late(syn.flow);
         inserted
     }
 
-    /// Records that the SYN of a flow has waited.
-    pub fn mark_waited(&mut self, flow: Flow) {
+    /// Records that the SYN of a flow may be late.
+    pub fn mark_late(&mut self, flow: Flow) {
         if let Some(entry) = self.flows.get_mut(&flow) {
-            entry.waited = true;
+            entry.may_be_late = true;
         }
     }
 
