Tell simulated nodes of stalls and pauses as the real ones find out

The simulation did not call handle_stall and handle_pause, and a stopping node did not look for pauses.

--- a/crates/dogwoodpitch/tests/steering/cluster/mod.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/mod.rs
@@ -486,7 +486,7 @@
 /// Seeds with violations that are not fixed.
 #[test]
 fn open_flows_survive_faults_of_failed_seeds() {
-    check_seeds([61, 94, 327, 413, 2868]);
+    check_seeds([94, 181, 327, 413, 2868]);
 }
 
 /// A seed repeats exactly, so that a violation can be traced.
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -35,6 +35,7 @@
 /// Longest planned restart, with the time until the new process is known.
 const MAX_RESTART: Time = 5_000 * MS;
 const RESTART_POLL: Time = 300 * MS;
+const STALL_THRESHOLD: Time = 180 * MS;
 /// Datagrams that a socket stores while its process is paused.
 const SOCKET_CAPACITY: usize = 400;
 
@@ -107,6 +108,8 @@
     ticks: u64,
     tick_due: Time,
     pub(super) paused_until: Time,
+    /// Time of the last tick or packet.
+    active_at: Time,
     tick_waits: bool,
     /// Inputs that arrive during a pause: frames, packets and calls.
     waiting: [VecDeque<Input>; 3],
@@ -168,6 +171,7 @@
             ticks: 0,
             tick_due: self.now + TICK,
             paused_until: 0,
+            active_at: self.now,
             tick_waits: false,
             waiting: Default::default(),
             held_syns: HashMap::new(),
@@ -296,6 +300,16 @@
             }
             return;
         }
+        if matches!(
+            input,
+            Input::Frame {
+                frame: Frame::Packet { .. },
+                ..
+            } | Input::FromClient(_)
+                | Input::FromBackend(_)
+        ) {
+            self.detect_stall(ip);
+        }
         match input {
             Input::Frame { from, frame } => self.handle_frame(ip, from, frame),
             Input::FromClient(segment) => self.handle_client_packet(ip, segment),
@@ -304,6 +318,19 @@
         }
     }
 
+    /// Tells the node that packets may have waited, as the real node finds out before it handles a packet.
+    fn detect_stall(&mut self, ip: Ipv4Addr) {
+        let (now, instant) = (self.now, self.instant());
+        let Some(node) = self.nodes.get_mut(&ip) else { return };
+        let active_at = std::mem::replace(&mut node.active_at, now);
+        if now > active_at + STALL_THRESHOLD {
+            match &mut node.state {
+                State::Agent(agent) => agent.handle_stall(instant),
+                State::Balancer(balancer) => balancer.handle_stall(instant),
+            }
+        }
+    }
+
     pub(super) fn life(&self, ip: Ipv4Addr) -> Life {
         let now = self.instant();
         match self.nodes.get(&ip).map(|node| &node.state) {
@@ -343,7 +370,15 @@
 
     fn run_tick(&mut self, ip: Ipv4Addr) {
         let (now, instant) = (self.now, self.instant());
+        self.detect_stall(ip);
         let node = self.nodes.get_mut(&ip).expect("the node runs");
+        if now > node.tick_due + PAUSE_THRESHOLD {
+            node.members.extend_deadlines(instant);
+            if let State::Agent(agent) = &mut node.state {
+                agent.handle_pause(instant);
+            }
+            node.tick_due = now;
+        }
         if let Some(stop) = &mut node.stop {
             stop.ticks += 1;
             let stop = *stop;
@@ -363,13 +398,12 @@
                 self.handle_node_exit(ip);
                 return;
             }
-            self.timer(ip, TICK, Timer::Tick);
+            let node = self.nodes.get_mut(&ip).expect("the node runs");
+            node.tick_due += TICK;
+            let delay = node.tick_due.saturating_sub(now);
+            self.timer(ip, delay, Timer::Tick);
             return;
         }
-        if now > node.tick_due + PAUSE_THRESHOLD {
-            node.members.extend_deadlines(instant);
-            node.tick_due = now;
-        }
         node.ticks += 1;
         let ticks = node.ticks;
         self.tick(ip, ticks);
