--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent.rs
@@ -309,12 +309,11 @@
         self.packets_late_until = now + LATE_PACKETS_DURATION;
     }
 
-    /// Whether this agent knows all peers that may hold a flow. In a mass start, peers take flows before others know them.
-    /// With older routes than those of a balancer, the services of a flow are not known.
-    fn knows_all_peers(&self, members: &Members, now: Instant) -> bool {
-        let settled = now >= self.joined_at() || self.has_open_peer(members, now);
+    /// Whether this agent knows all peers that may hold a flow. With older routes than those of a balancer, the services of a
+    /// flow are not known.
+    fn knows_all_peers(&self, now: Instant) -> bool {
         let knows_services = self.routes.is_loaded() && self.routes.version >= self.newest_version;
-        self.announced && knows_services && settled && now >= self.reports_recent_at
+        self.announced && knows_services && now >= self.reports_recent_at
     }
 
     fn has_open_peer(&self, members: &Members, now: Instant) -> bool {
@@ -640,7 +639,7 @@
         if probes_local {
             queried.insert(self.ip);
         }
-        if !self.knows_all_peers(members, now) {
+        if !self.knows_all_peers(now) {
             // This search cannot prove that no agent holds the flow. The unspecified address never answers.
             queried.insert(Ipv4Addr::UNSPECIFIED);
         }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -720,12 +720,11 @@
     };
     assert_eq!(out, [denial]);
 
-    let mut searching = agent_with_backend(A, now);
-    let now = now + 600 * MS;
     let mut peers = members(&[B, C], Stance::Joining, now);
     let mut report = agent_report(2, 2, Stance::Joining);
     report.vacant = true;
     peers.record_report(C, report, now);
+    let mut searching = agent_with_backend(A, now);
     searching.mark_announced();
     out.clear();
     searching.handle_client_packet(&data(1, 501), hop(BALANCER), &peers, now, &mut out);
