review: case 3, lapsed leases

Claim: after an outage of the store in which the leases ran out, agents that are added with stale seeds reset open flows that they do not find (rule FLOW).

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use std::{
-    net::SocketAddrV4,
+    net::{SocketAddr, SocketAddrV4},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU8, Ordering},
@@ -17,18 +17,23 @@
     Outcome,
     client::{Client, End},
     deployment::{Deployment, Sent, Traffic, config, route},
+    program::Program,
     proxy::Proxy,
 };
 
 /// Bounds of the site, in seconds.
 const CONTACT_S: f64 = 4.0;
 const APPLY_S: f64 = 3.0;
+/// Duration of an outage of the store, and its time since the start of the case.
+const OUTAGE_S: f64 = 4.5;
+const OUTAGE_AT_S: f64 = 19.0;
 
 pub fn run(case: &str, deployment: &mut Deployment, trouble: bool) -> Outcome {
     match case {
         "silent-connections" => silent_connections(deployment, trouble),
         "moved-store" => moved_store(deployment, trouble),
         "moved-route" => moved_route(deployment, trouble),
+        "lapsed-leases" => lapsed_leases(deployment, trouble),
         "late-write" => late_write(deployment, trouble),
         _ => Outcome::Impossible(format!("there is no case {case}")),
     }
@@ -148,66 +153,90 @@
 struct LongFlows {
     threads: Vec<thread::JoinHandle<()>>,
     step: Arc<AtomicU8>,
-    results: Arc<Mutex<Vec<(u8, u8, SocketAddrV4, Result<String, End>)>>>,
+    answers: Arc<Mutex<Vec<Answer>>>,
+    count: usize,
+}
+
+/// Answer to a request on a long flow.
+struct Answer {
+    step: u8,
+    /// Client's end of the flow.
+    client: SocketAddrV4,
+    result: Result<String, End>,
 }
 
 impl LongFlows {
-    /// Opens a flow for each client and sends a first request.
-    fn open(deployment: &Deployment, route: SocketAddrV4, clients: u8) -> Self {
+    /// Opens flows from a number of clients.
+    fn open(deployment: &Deployment, route: SocketAddrV4, clients: u8, flows_per_client: usize) -> Self {
         let step = Arc::new(AtomicU8::new(0));
-        let results = Arc::<Mutex<Vec<_>>>::default();
+        let answers = Arc::<Mutex<Vec<_>>>::default();
         let spawn = |number: u8| {
             let ip = deployment.network.client(number);
             let mut client = Client::bind(ip, 1 + number % 3, &deployment.router, &deployment.record);
-            let (step, results, record) = (Arc::clone(&step), Arc::clone(&results), deployment.record.clone());
+            let (step, answers, record) = (Arc::clone(&step), Arc::clone(&answers), deployment.record.clone());
             thread::spawn(move || {
-                let opened = (0..3).find_map(|_| client.open(route).ok());
-                let Some(mut flow) = opened else {
-                    record.note(&format!("client {ip} has not opened a flow"));
-                    return;
-                };
+                let mut flows: Vec<_> = (0..flows_per_client)
+                    .filter_map(|_| (0..3).find_map(|_| client.open(route).ok()))
+                    .collect();
                 let mut done = 0;
                 loop {
-                    let now = step.load(Ordering::Relaxed);
-                    if now == u8::MAX {
-                        client.close(&flow);
+                    let step = step.load(Ordering::Relaxed);
+                    if step == u8::MAX {
+                        flows.iter().for_each(|flow| client.close(flow));
                         return;
                     }
-                    if now == done {
+                    if step == done {
                         thread::sleep(Duration::from_millis(10));
                         continue;
                     }
-                    done = now;
-                    let id = format!("c{number}-{now}");
-                    record.note(&format!("client {} sends {id} on its open flow to {route}", flow.end));
-                    let answer = client.request(&mut flow, &id, Duration::from_secs(3));
-                    let answer = answer.map(|answer| answer.lines().last().unwrap_or("").to_owned());
-                    record.note(&format!("client {} got for {id}: {answer:?}", flow.end));
-                    let failed = answer.is_err();
-                    results.lock().unwrap().push((now, number, flow.end, answer));
-                    if failed {
-                        return;
-                    }
+                    done = step;
+                    flows.retain_mut(|flow| {
+                        let id = format!("c{number}-{}-{step}", flow.end.port());
+                        record.note(&format!("client {} sends {id} on its open flow to {route}", flow.end));
+                        let result = client.request(flow, &id, Duration::from_secs(2));
+                        let result = result.map(|answer| answer.lines().last().unwrap_or("").to_owned());
+                        record.note(&format!("client {} got for {id}: {result:?}", flow.end));
+                        let is_served = result.is_ok();
+                        answers.lock().unwrap().push(Answer {
+                            step,
+                            client: flow.end,
+                            result,
+                        });
+                        is_served
+                    });
                 }
             })
         };
         Self {
             threads: (1..=clients).map(spawn).collect(),
             step,
-            results,
+            answers,
+            count: usize::from(clients) * flows_per_client,
         }
     }
 
-    /// Each client sends one request. Returns the clients' ends of the flows with the answers.
+    /// Each flow carries one request. Returns the clients' ends of the flows with the results.
     fn request(&self) -> Vec<(SocketAddrV4, Result<String, End>)> {
         let step = self.step.fetch_add(1, Ordering::Relaxed) + 1;
-        wait(3.2);
-        let results = self.results.lock().unwrap();
-        results
-            .iter()
-            .filter(|(at, ..)| *at == step)
-            .map(|(_, _, end, answer)| (*end, answer.clone()))
-            .collect()
+        let until = Instant::now() + Duration::from_secs(6);
+        loop {
+            let answers = self.answers.lock().unwrap();
+            let answers: Vec<_> = answers
+                .iter()
+                .filter(|answer| answer.step == step)
+                .map(|answer| (answer.client, answer.result.clone()))
+                .collect();
+            if answers.len() == self.count || Instant::now() > until {
+                return answers;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Like [`Self::request`]. Returns whether nearly all flows were served.
+    fn are_served(&self) -> bool {
+        let served = self.request().iter().filter(|(_, result)| result.is_ok()).count();
+        served * 10 >= self.count * 9
     }
 
     fn stop(self) {
@@ -239,9 +268,10 @@
     if broken > 0 { Outcome::Broken } else { Outcome::Held }
 }
 
-/// A route is led to another service, which leaves open flows where they are. Then the agents beside the former hosts
-/// are killed at once, and the clients go on when all machines are in touch again. `MOVE=0` leaves the change of the route
-/// out; with `ROLL=N` the agents are restarted in turn N times instead of killed.
+/// A route is led to another service, which leaves open flows where they are. Then an agent beside a former host is
+/// restarted as planned. `MOVE=0` leaves the change of the route out, and `FLOWS` sets the number of flows of each client.
+/// With `HOW=roll` all agents of the service are restarted in turn, twice; with `HOW=kill` they are killed at once, and the
+/// clients go on when all machines are in touch again.
 fn moved_route(deployment: &mut Deployment, trouble: bool) -> Outcome {
     let network = deployment.network;
     let (kept, moved) = (network.route(1), network.route(2));
@@ -251,6 +281,7 @@
             route("moved", moved, "unsafe", service),
         ]
     };
+    let variable = |name: &str| std::env::var(name).unwrap_or_default();
     deployment.store.configure(&config(4, &routes("desk")));
     let store = deployment.store.listen(network.platform(1));
     deployment.start(store);
@@ -258,46 +289,46 @@
         return Outcome::Impossible("not all routes are served".to_owned());
     }
     wait(2.0);
-    let flows = LongFlows::open(deployment, moved, 24);
-    if flows.request().iter().filter(|(_, answer)| answer.is_ok()).count() < 20 {
+    let flows = LongFlows::open(deployment, moved, 30, variable("FLOWS").parse().unwrap_or(10));
+    if !flows.are_served() {
         return Outcome::Impossible("flows have not opened".to_owned());
     }
-    if std::env::var("MOVE").map_or(true, |value| value != "0") {
+    if variable("MOVE") != "0" {
         deployment.store.configure(&config(7, &routes("board")));
     }
-    let before = flows.request();
-    deployment.record.say(&format!(
-        "{} of {} flows served after the change",
-        before.iter().filter(|(_, answer)| answer.is_ok()).count(),
-        before.len()
-    ));
-    let rounds: Option<u32> = std::env::var("ROLL").ok().and_then(|rounds| rounds.parse().ok());
-    if let Some(rounds) = rounds.filter(|_| trouble) {
-        deployment.record.say(&format!("SIGTERM to the three agents beside the hosts of desk in turn, {rounds} times"));
-        for _ in 0..rounds {
-            for side in &deployment.sides[7..] {
+    wait(3.0);
+    if !flows.are_served() {
+        return Outcome::Impossible("flows have ended with the change of the route".to_owned());
+    }
+    let sides = &deployment.sides[7..];
+    match variable("HOW").as_str() {
+        _ if !trouble => wait(6.0),
+        "kill" => {
+            deployment.record.say("SIGKILL to the three agents beside the hosts of desk");
+            sides.iter().for_each(|side| side.signal(Signal::SIGKILL));
+        }
+        "roll" => {
+            deployment.record.say("SIGTERM to the three agents beside the hosts of desk in turn, twice");
+            for side in sides.iter().chain(sides) {
                 side.signal(Signal::SIGTERM);
                 wait(1.3);
             }
         }
-        wait(6.0);
-    } else if trouble {
-        deployment.record.say("SIGKILL to the three agents beside the hosts of desk");
-        for side in &deployment.sides[7..] {
-            side.signal(Signal::SIGKILL);
+        _ => {
+            deployment.record.say(&format!("SIGTERM to the agent {} beside a host of desk", sides[0].ip));
+            sides[0].signal(Signal::SIGTERM);
         }
-        let until = Instant::now() + Duration::from_secs(10);
-        let is_back = |side: &crate::program::Program| {
-            side.starts() > 1 && side.running_for().is_some_and(|time| time.as_secs_f64() > CONTACT_S + 1.0)
-        };
-        while !deployment.sides[7..].iter().all(is_back) {
-            if Instant::now() > until {
-                return Outcome::Impossible("the agents have not come back".to_owned());
-            }
-            wait(0.05);
+    }
+    let is_back = |side: &Program| {
+        let is_settled = side.running_for().is_some_and(|time| time.as_secs_f64() > CONTACT_S + 0.5);
+        is_settled && (!trouble || side.starts() > 1)
+    };
+    let until = Instant::now() + Duration::from_secs(10);
+    while !sides[..1].iter().all(is_back) {
+        if Instant::now() > until {
+            return Outcome::Impossible("the agent has not come back".to_owned());
         }
-    } else {
-        wait(6.0);
+        wait(0.05);
     }
     let answers = flows.request();
     let outcome = judge_resets(deployment, &answers);
@@ -328,8 +359,8 @@
     }
     let is_listed = !deployment.store.keys(&key).is_empty();
     deployment.record.say(&format!("the announcement of {agent} is in the store: {is_listed}"));
-    let flows = LongFlows::open(deployment, address, 60);
-    if flows.request().iter().filter(|(_, answer)| answer.is_ok()).count() < 50 {
+    let flows = LongFlows::open(deployment, address, 60, 1);
+    if !flows.are_served() {
         return Outcome::Impossible("flows have not opened".to_owned());
     }
     let known = deployment.store.listed(store_of_agent);
@@ -340,6 +371,12 @@
         }
         wait(0.02);
     }
+    add_machines_and_judge(deployment, store, flows)
+}
+
+/// Adds machines as planned, with seeds that are stale. The clients go on when all machines are in touch.
+fn add_machines_and_judge(deployment: &mut Deployment, store: SocketAddr, flows: LongFlows) -> Outcome {
+    let network = deployment.network;
     let stale_seeds: Vec<_> = (201..=203).map(|number| network.front(number)).collect();
     deployment.record.say("two hosts of desk with their agents, and three front nodes, are added");
     for number in [11, 12] {
@@ -357,3 +394,30 @@
     flows.stop();
     outcome
 }
+
+/// The store is down, and the leases run out meanwhile. When the store has been back for longer than `contact_ms`, hosts
+/// and front nodes are added.
+fn lapsed_leases(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    let address = deployment.network.route(1);
+    deployment.store.configure(&config(4, &[route("desk", address, "unsafe", "desk")]));
+    let store = deployment.store.listen(deployment.network.platform(1));
+    deployment.start(store);
+    if !deployment.wait_until_served(&[address]) {
+        return Outcome::Impossible("the route is not served".to_owned());
+    }
+    while deployment.record.now() < OUTAGE_AT_S {
+        wait(0.01);
+    }
+    let flows = LongFlows::open(deployment, address, 60, 1);
+    if !flows.are_served() {
+        return Outcome::Impossible("flows have not opened".to_owned());
+    }
+    if trouble {
+        deployment.record.say(&format!("the store is down for {OUTAGE_S} s; the leases run out meanwhile"));
+        deployment.store.fail(Duration::from_secs_f64(OUTAGE_S));
+    }
+    wait(OUTAGE_S + CONTACT_S + 0.2);
+    let listed = deployment.store.keys("dogwoodpitch/nodes/").len();
+    deployment.record.say(&format!("{listed} of 14 announcements are in the store"));
+    add_machines_and_judge(deployment, store, flows)
+}
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -47,6 +47,8 @@
     /// When the nodes were last listed through each address.
     listed: BTreeMap<SocketAddr, Instant>,
     closed: BTreeSet<SocketAddr>,
+    /// Until when the store is down: calls are cut.
+    down_until: Option<Instant>,
 }
 
 #[derive(Clone)]
@@ -107,6 +109,20 @@
         self.state.0.lock().unwrap().lose_write_of = Some((key.to_owned(), delay));
     }
 
+    /// The store is down for some time. All leases run out meanwhile.
+    pub fn fail(&self, time: Duration) {
+        let mut state = self.state.0.lock().unwrap();
+        state.down_until = Some(Instant::now() + time);
+        state.leases.clear();
+        drop(state);
+        self.expire();
+        self.state.1.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        self.state.0.lock().unwrap().down_until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Writes a desired state, as the operator does. Returns the time of the confirmation.
     pub fn configure(&self, config: &Value) -> f64 {
         self.write("op/config", STANDARD.encode(config.to_string()), 0);
@@ -201,6 +217,9 @@
             }
             let mut body = vec![0; length];
             reader.read_exact(&mut body)?;
+            if self.is_down() {
+                return Ok(());
+            }
             let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             let mut words = line.split_whitespace();
             let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
@@ -209,7 +228,7 @@
                 thread::sleep(Duration::from_secs(120));
                 return Ok(());
             };
-            if self.state.0.lock().unwrap().closed.contains(&address) {
+            if self.is_down() || self.state.0.lock().unwrap().closed.contains(&address) {
                 return Ok(());
             }
             let reply = reply.to_string();
@@ -365,7 +384,8 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() || state.closed.contains(&address) {
+            let is_down = state.down_until.is_some_and(|until| Instant::now() < until);
+            if !events.is_empty() || left.is_zero() || is_down || state.closed.contains(&address) {
                 return (200, json!({ "events": events, "current_rev": state.rev }));
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
