--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -63,7 +63,10 @@
         .filter_map(|sent| Some((*sent, run_by(sent)?)))
         .filter(|(sent, run)| sent.route == network.route(3) || (sent.route == moved && run.service != "desk"))
         .collect();
-    let served = late.iter().filter(|sent| sent.route == kept && run_by(sent).is_some()).count();
+    let served = late
+        .iter()
+        .filter(|sent| sent.route == kept && run_by(sent).is_some())
+        .count();
     for (sent, run) in &old {
         deployment.record.note(&format!(
             "broken: {} sent to {} {:.3} s after the confirmation, run by {} at {:.3}",
@@ -112,7 +115,9 @@
     wait(CONTACT_S);
     if trouble {
         let count = proxy.silence();
-        deployment.record.say(&format!("{count} open connections to the store go silent"));
+        deployment
+            .record
+            .say(&format!("{count} open connections to the store go silent"));
     }
     wait(CONTACT_S + 0.5);
     change_and_judge(deployment, traffic)
@@ -134,7 +139,9 @@
     wait(CONTACT_S);
     if trouble {
         let new = deployment.store.listen(deployment.network.platform(2));
-        deployment.record.say(&format!("the settings files change: the store moves from {old} to {new}"));
+        deployment.record.say(&format!(
+            "the settings files change: the store moves from {old} to {new}"
+        ));
         for (number, program) in deployment.fronts.iter().chain(&deployment.sides).enumerate() {
             program.change("store", json!(new));
             if number < SIGNALLED {
@@ -143,7 +150,9 @@
         }
         wait(8.0);
         deployment.store.close(old);
-        deployment.record.say("the old address of the store is no longer served");
+        deployment
+            .record
+            .say("the old address of the store is no longer served");
     }
     wait(CONTACT_S + 0.5);
     change_and_judge(deployment, traffic)
@@ -304,23 +313,31 @@
     match variable("HOW").as_str() {
         _ if !trouble => wait(6.0),
         "kill" => {
-            deployment.record.say("SIGKILL to the three agents beside the hosts of desk");
+            deployment
+                .record
+                .say("SIGKILL to the three agents beside the hosts of desk");
             sides.iter().for_each(|side| side.signal(Signal::SIGKILL));
         }
         "roll" => {
-            deployment.record.say("SIGTERM to the three agents beside the hosts of desk in turn, twice");
+            deployment
+                .record
+                .say("SIGTERM to the three agents beside the hosts of desk in turn, twice");
             for side in sides.iter().chain(sides) {
                 side.signal(Signal::SIGTERM);
                 wait(1.3);
             }
         }
         _ => {
-            deployment.record.say(&format!("SIGTERM to the agent {} beside a host of desk", sides[0].ip));
+            deployment
+                .record
+                .say(&format!("SIGTERM to the agent {} beside a host of desk", sides[0].ip));
             sides[0].signal(Signal::SIGTERM);
         }
     }
     let is_back = |side: &Program| {
-        let is_settled = side.running_for().is_some_and(|time| time.as_secs_f64() > CONTACT_S + 0.5);
+        let is_settled = side
+            .running_for()
+            .is_some_and(|time| time.as_secs_f64() > CONTACT_S + 0.5);
         is_settled && (!trouble || side.starts() > 1)
     };
     let until = Instant::now() + Duration::from_secs(10);
@@ -341,7 +358,9 @@
 fn late_write(deployment: &mut Deployment, trouble: bool) -> Outcome {
     let network = deployment.network;
     let address = network.route(1);
-    deployment.store.configure(&config(4, &[route("desk", address, "unsafe", "desk")]));
+    deployment
+        .store
+        .configure(&config(4, &[route("desk", address, "unsafe", "desk")]));
     let store = deployment.store.listen(network.platform(1));
     let agent = network.side(8);
     let store_of_agent = deployment.store.listen(network.platform(2));
@@ -358,7 +377,9 @@
         wait(0.05);
     }
     let is_listed = !deployment.store.keys(&key).is_empty();
-    deployment.record.say(&format!("the announcement of {agent} is in the store: {is_listed}"));
+    deployment
+        .record
+        .say(&format!("the announcement of {agent} is in the store: {is_listed}"));
     let flows = LongFlows::open(deployment, address, 60, 1);
     if !flows.are_served() {
         return Outcome::Impossible("flows have not opened".to_owned());
@@ -378,7 +399,9 @@
 fn add_machines_and_judge(deployment: &mut Deployment, store: SocketAddr, flows: LongFlows) -> Outcome {
     let network = deployment.network;
     let stale_seeds: Vec<_> = (201..=203).map(|number| network.front(number)).collect();
-    deployment.record.say("two hosts of desk with their agents, and three front nodes, are added");
+    deployment
+        .record
+        .say("two hosts of desk with their agents, and three front nodes, are added");
     for number in [11, 12] {
         deployment.add_side(number, "desk", store, &stale_seeds);
     }
@@ -399,7 +422,9 @@
 /// and front nodes are added.
 fn lapsed_leases(deployment: &mut Deployment, trouble: bool) -> Outcome {
     let address = deployment.network.route(1);
-    deployment.store.configure(&config(4, &[route("desk", address, "unsafe", "desk")]));
+    deployment
+        .store
+        .configure(&config(4, &[route("desk", address, "unsafe", "desk")]));
     let store = deployment.store.listen(deployment.network.platform(1));
     deployment.start(store);
     if !deployment.wait_until_served(&[address]) {
@@ -413,11 +438,15 @@
         return Outcome::Impossible("flows have not opened".to_owned());
     }
     if trouble {
-        deployment.record.say(&format!("the store is down for {OUTAGE_S} s; the leases run out meanwhile"));
+        deployment.record.say(&format!(
+            "the store is down for {OUTAGE_S} s; the leases run out meanwhile"
+        ));
         deployment.store.fail(Duration::from_secs_f64(OUTAGE_S));
     }
     wait(OUTAGE_S + CONTACT_S + 0.2);
     let listed = deployment.store.keys("dogwoodpitch/nodes/").len();
-    deployment.record.say(&format!("{listed} of 14 announcements are in the store"));
+    deployment
+        .record
+        .say(&format!("{listed} of 14 announcements are in the store"));
     add_machines_and_judge(deployment, store, flows)
 }
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -168,7 +168,11 @@
             let until = start + Duration::from_millis(next_ms);
             while let Some((packet, sum)) = self.receive(end, until) {
                 if packet.flags & RST != 0 {
-                    return Err(if sum == Sum::Zero { End::ResetBySystem } else { End::ResetByHost });
+                    return Err(if sum == Sum::Zero {
+                        End::ResetBySystem
+                    } else {
+                        End::ResetByHost
+                    });
                 }
                 if packet.flags & SYN != 0 && sum == Sum::Valid && packet.ack == first.wrapping_add(1) {
                     let flow = Flow {
@@ -201,10 +205,17 @@
                     if sum == Sum::Zero && distance.min(distance.wrapping_neg()) > WINDOW {
                         continue;
                     }
-                    return Err(if sum == Sum::Zero { End::ResetBySystem } else { End::ResetByHost });
+                    return Err(if sum == Sum::Zero {
+                        End::ResetBySystem
+                    } else {
+                        End::ResetByHost
+                    });
                 }
                 if sum != Sum::Valid {
-                    self.record.note(&format!("client {} got a packet that nobody wrote so: {reply:?}", flow.end));
+                    self.record.note(&format!(
+                        "client {} got a packet that nobody wrote so: {reply:?}",
+                        flow.end
+                    ));
                     continue;
                 }
                 if reply.data.is_empty() || reply.seq != flow.next_ack {
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -139,7 +139,8 @@
         };
         self.sides.push(Program::spawn(&site, &self.directory, &self.record));
         let beat = Duration::from_millis(BEAT_MS);
-        self.hosts.push(Host::spawn(site.ip, service, beat, &self.runs, &self.record));
+        self.hosts
+            .push(Host::spawn(site.ip, service, beat, &self.runs, &self.record));
     }
 
     /// Waits until the front nodes are in rotation and each route in `services` serves a request.
@@ -184,9 +185,8 @@
 }
 
 pub fn config(version: u64, routes: &[Value]) -> Value {
-    let service = |name: &str| {
-        json!({ "name": name, "health_path": "/health", "max_conns": 2_000, "proto": "h1", "tls": false })
-    };
+    let service =
+        |name: &str| json!({ "name": name, "health_path": "/health", "max_conns": 2_000, "proto": "h1", "tls": false });
     json!({
         "version": version, "routes": routes, "services": [service("board"), service("desk")],
         "limits": {
--- a/review/standin/src/host.rs
+++ b/review/standin/src/host.rs
@@ -135,7 +135,10 @@
                 && let Some((packet, sum)) = Packet::decode(&buffer[..len])
             {
                 if sum != Sum::Valid {
-                    self.shared.record.note(&format!("host {} got a packet that nobody wrote so: {packet:?}", self.ip));
+                    self.shared.record.note(&format!(
+                        "host {} got a packet that nobody wrote so: {packet:?}",
+                        self.ip
+                    ));
                     continue;
                 }
                 let raw = &buffer[..len];
@@ -151,7 +154,9 @@
         let now = Instant::now();
         let mut flows = self.shared.flows.lock().unwrap();
         for flow in flows.values_mut() {
-            let Some((packet, due, count)) = &mut flow.unacked else { continue };
+            let Some((packet, due, count)) = &mut flow.unacked else {
+                continue;
+            };
             if now < *due {
                 continue;
             }
@@ -201,7 +206,10 @@
             return vec![reply.encode()];
         }
         let Some(flow) = flows.get_mut(&packet.src) else {
-            self.shared.record.note(&format!("host {} returns a packet of {} that it does not hold", self.ip, packet.src));
+            self.shared.record.note(&format!(
+                "host {} returns a packet of {} that it does not hold",
+                self.ip, packet.src
+            ));
             return vec![bounce()];
         };
         if !flow.open {
@@ -209,7 +217,10 @@
                 return vec![bounce()];
             }
             flow.open = true;
-            self.shared.record.note(&format!("host {} ({}) holds the open flow {} -> {}", self.ip, self.service, packet.src, packet.dst));
+            self.shared.record.note(&format!(
+                "host {} ({}) holds the open flow {} -> {}",
+                self.ip, self.service, packet.src, packet.dst
+            ));
         }
         if packet.flags & RST != 0 {
             flows.remove(&packet.src);
@@ -218,7 +229,11 @@
         if flow.ended {
             let flags = if packet.flags & FIN != 0 { ACK } else { RST };
             let is_empty = packet.data.is_empty() && packet.flags & FIN == 0;
-            return if is_empty { Vec::new() } else { vec![answer(flags, flow.next_seq, flow.next_ack, Vec::new()).encode()] };
+            return if is_empty {
+                Vec::new()
+            } else {
+                vec![answer(flags, flow.next_seq, flow.next_ack, Vec::new()).encode()]
+            };
         }
         if packet.ack == flow.next_seq {
             flow.unacked = None;
@@ -239,15 +254,26 @@
         }
         flow.next_ack = flow.next_ack.wrapping_add(u32::try_from(packet.data.len()).unwrap());
         let text = String::from_utf8_lossy(&packet.data);
-        let request = text.lines().find_map(|line| line.strip_prefix("Request-Id: ")).unwrap_or("").to_owned();
-        let at = self.shared.record.note(&format!("host {} ({}) runs {request} of {} -> {}", self.ip, self.service, packet.src, packet.dst));
+        let request = text
+            .lines()
+            .find_map(|line| line.strip_prefix("Request-Id: "))
+            .unwrap_or("")
+            .to_owned();
+        let at = self.shared.record.note(&format!(
+            "host {} ({}) runs {request} of {} -> {}",
+            self.ip, self.service, packet.src, packet.dst
+        ));
         self.shared.runs.lock().unwrap().push(Run {
             at,
             request: request.clone(),
             service: self.service.clone(),
         });
         let body = format!("{request} run by {} of {}", self.ip, self.service);
-        let data = format!("HTTP/1.1 200 OK\r\nServer-Seal: {}\r\nContent-Length: {}\r\n\r\n{body}", self.shared.id, body.len());
+        let data = format!(
+            "HTTP/1.1 200 OK\r\nServer-Seal: {}\r\nContent-Length: {}\r\n\r\n{body}",
+            self.shared.id,
+            body.len()
+        );
         let reply = answer(ACK, flow.next_seq, flow.next_ack, data.into_bytes());
         flow.next_seq = flow.next_seq.wrapping_add(u32::try_from(reply.data.len()).unwrap());
         flow.unacked = Some((reply.clone(), Instant::now() + FIRST_INTERVAL, 0));
@@ -256,6 +282,11 @@
 
     /// Whether the host holds an open flow of a client.
     pub fn holds(&self, client: SocketAddrV4) -> bool {
-        self.shared.flows.lock().unwrap().get(&client).is_some_and(|flow| flow.open && !flow.ended)
+        self.shared
+            .flows
+            .lock()
+            .unwrap()
+            .get(&client)
+            .is_some_and(|flow| flow.open && !flow.ended)
     }
 }
--- a/review/standin/src/program.rs
+++ b/review/standin/src/program.rs
@@ -62,7 +62,11 @@
                 "heartbeat_interval_ms": site.beat_ms,
             })
         });
-        let seeds: Vec<_> = site.seeds.iter().map(|seed| format!("{seed}:{}", ports::CONTROL)).collect();
+        let seeds: Vec<_> = site
+            .seeds
+            .iter()
+            .map(|seed| format!("{seed}:{}", ports::CONTROL))
+            .collect();
         let values = json!({
             "name": format!("{}-{ip}", if backend.is_some() { "side" } else { "front" }), "ip": ip,
             "data_centre": format!("z{}", site.zone), "port": ports::INTERNAL, "packets": format!("{ip}:{}", ports::PACKETS),
--- a/review/standin/src/proxy.rs
+++ b/review/standin/src/proxy.rs
@@ -27,7 +27,9 @@
         let open = Arc::clone(&proxy.open);
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
-                let Ok(far) = TcpStream::connect(upstream) else { continue };
+                let Ok(far) = TcpStream::connect(upstream) else {
+                    continue;
+                };
                 let silent = Arc::new(AtomicBool::new(false));
                 let mut open = open.lock().unwrap();
                 open.retain(|silent| Arc::strong_count(silent) > 1);
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -120,7 +120,12 @@
     }
 
     fn is_down(&self) -> bool {
-        self.state.0.lock().unwrap().down_until.is_some_and(|until| Instant::now() < until)
+        self.state
+            .0
+            .lock()
+            .unwrap()
+            .down_until
+            .is_some_and(|until| Instant::now() < until)
     }
 
     /// Writes a desired state, as the operator does. Returns the time of the confirmation.
@@ -132,7 +137,12 @@
 
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
-        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     /// When the nodes were last listed through an address.
@@ -189,7 +199,8 @@
             .map(|(key, item)| (key.clone(), item.lease))
             .collect();
         for (key, lease) in &gone {
-            self.record.note(&format!("store: lease {lease} has ended, {key} removed"));
+            self.record
+                .note(&format!("store: lease {lease} has ended, {key} removed"));
         }
         let gone: Vec<_> = gone.into_iter().map(|(key, _)| key).collect();
         if !gone.is_empty() {
@@ -245,10 +256,16 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map_or_else(String::new, |(_, value)| unescape(value))
+            pairs
+                .find(|(key, _)| *key == name)
+                .map_or_else(String::new, |(_, value)| unescape(value))
         };
         let number = |name: &str| parameter(name).parse::<u64>().unwrap_or(0);
-        let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse::<u64>().ok())
+            .unwrap_or(0);
         let reply = match (method, path) {
             ("GET", "/kv-key") => self.get(&parameter("key")),
             ("GET", "/kv-range") => {
@@ -292,18 +309,25 @@
 
     fn transact(&self, body: &Value) -> Option<(u16, Value)> {
         let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let keys: Vec<_> = rows("puts").iter().map(|put| put["key"].as_str().unwrap_or("").to_owned()).collect();
+        let keys: Vec<_> = rows("puts")
+            .iter()
+            .map(|put| put["key"].as_str().unwrap_or("").to_owned())
+            .collect();
         let mut state = self.state.0.lock().unwrap();
         let lost = state.lose_write_of.take_if(|(key, _)| keys.contains(key));
         drop(state);
         if let Some((key, delay)) = lost {
-            self.record.say(&format!("store: answer of the write of {key} is lost; done in {delay:?}"));
+            self.record.say(&format!(
+                "store: answer of the write of {key} is lost; done in {delay:?}"
+            ));
             let (store, body) = (self.clone(), body.clone());
             thread::spawn(move || {
                 thread::sleep(delay);
                 let (status, _) = store.apply(&body);
                 let lease = &body["puts"][0]["lease"];
-                store.record.say(&format!("store: late write of {key} under lease {lease} done: {status}"));
+                store.record.say(&format!(
+                    "store: late write of {key} under lease {lease} done: {status}"
+                ));
             });
             return None;
         }
@@ -321,8 +345,14 @@
                 return (412, json!({ "items": [] }));
             }
         }
-        let written = puts.iter().map(|put| text(&put["key"])).chain(deletes.iter().map(&text));
-        if written.into_iter().any(|key| key.starts_with("op/") || key.starts_with("servers/")) {
+        let written = puts
+            .iter()
+            .map(|put| text(&put["key"]))
+            .chain(deletes.iter().map(&text));
+        if written
+            .into_iter()
+            .any(|key| key.starts_with("op/") || key.starts_with("servers/"))
+        {
             return (403, json!({}));
         }
         for put in &puts {
@@ -367,7 +397,10 @@
             .map(|(key, item)| encode(key, &item.value, item.rev, item.created, item.lease))
             .collect();
         let has_more = items.next().is_some();
-        (200, json!({ "items": page, "has_more": has_more, "current_rev": state.rev }))
+        (
+            200,
+            json!({ "items": page, "has_more": has_more, "current_rev": state.rev }),
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration, address: SocketAddr) -> (u16, Value) {
