--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -171,12 +171,19 @@
     }
 }
 
-/// Route of a desired state.
-pub fn route(name: &str, address: SocketAddrV4, kind: &str, service: &str) -> Value {
-    json!({
+/// Route of a desired state. New flows are shared equally between several services.
+pub fn route(name: &str, address: SocketAddrV4, kind: &str, services: &[&str]) -> Value {
+    let mut route = json!({
         "name": name, "host": address.ip().to_string(), "prefix": format!("/{}/", address.port()), "kind": kind,
-        "timeout_ms": 3_000, "slo_ms": 300, "priority": 2, "service": service, "max_attempts": 2,
-    })
+        "timeout_ms": 3_000, "slo_ms": 300, "priority": 2, "max_attempts": 2,
+    });
+    if let [service] = services {
+        route["service"] = json!(service);
+    } else {
+        let share = |service: &&str| json!({ "service": service, "weight": 50 });
+        route["split"] = services.iter().map(share).collect();
+    }
+    route
 }
 
 pub fn config(version: u64, routes: &[Value]) -> Value {
