--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -22,14 +22,11 @@
 /// Bounds of the site, in seconds.
 const CONTACT_S: f64 = 4.0;
 const APPLY_S: f64 = 3.0;
-/// Duration of the freeze, in seconds; the site's `node_freeze` lasts 4.
-const FREEZE_S: f64 = 0.4;
 
 pub fn run(case: &str, deployment: &mut Deployment, trouble: bool) -> Outcome {
     match case {
         "silent-connections" => silent_connections(deployment, trouble),
         "moved-route" => moved_route(deployment, trouble),
-        "moved-back" => moved_back(deployment, trouble),
         _ => Outcome::Impossible(format!("there is no case {case}")),
     }
 }
@@ -314,77 +311,3 @@
     flows.stop();
     outcome
 }
-
-/// Age of an agent from which it takes its table of flows for complete, and some slack. No flow lives longer than
-/// `flow_ttl_s`, 60.
-const SETTLED_S: u64 = 77;
-
-/// A route is led to another service and back again while one agent of the first service is frozen. Flows that have opened
-/// at the other service stay. Later one balancer is restarted as planned. With `MOVE=split` the route is split between both
-/// services and leads to the first one alone again.
-fn moved_back(deployment: &mut Deployment, trouble: bool) -> Outcome {
-    let network = deployment.network;
-    let (kept, moved) = (network.route(1), network.route(2));
-    let routes = |services: &[&str]| {
-        [
-            route("kept", kept, "safe", &["board"]),
-            route("moved", moved, "unsafe", services),
-        ]
-    };
-    deployment.store.configure(&config(4, &routes(&["desk"])));
-    let store = deployment.store.listen(network.platform(1));
-    deployment.start(store);
-    if !deployment.wait_until_served(&[kept, moved]) {
-        return Outcome::Impossible("not all routes are served".to_owned());
-    }
-    let frozen = deployment.sides[8].clone();
-    let has_run_for = |program: &Program, time: Duration| program.running_for().is_some_and(|age| age > time);
-    while !has_run_for(&frozen, Duration::from_secs(SETTLED_S - 14)) {
-        wait(0.1);
-    }
-    let frozen_at = Instant::now();
-    let wait_until = |seconds: f64| wait((seconds - frozen_at.elapsed().as_secs_f64()).max(0.0));
-    if trouble {
-        deployment.record.say(&format!(
-            "agent {} beside a host of desk stands still for {FREEZE_S} s",
-            frozen.ip
-        ));
-        frozen.signal(Signal::SIGSTOP);
-    }
-    let other: &[&str] = if std::env::var("MOVE").is_ok_and(|form| form == "split") {
-        &["desk", "board"]
-    } else {
-        &["board"]
-    };
-    deployment.store.configure(&config(7, &routes(other)));
-    wait_until(0.05);
-    let flows = LongFlows::open(deployment, moved, 30, 6);
-    wait_until(0.3);
-    deployment.store.configure(&config(9, &routes(&["desk"])));
-    wait_until(FREEZE_S);
-    frozen.signal(Signal::SIGCONT);
-    wait(CONTACT_S + 0.5);
-    if !flows.are_served() {
-        return Outcome::Impossible("flows have not opened, or ended with the changes of the route".to_owned());
-    }
-    let restarted = deployment.fronts[2].clone();
-    deployment
-        .record
-        .say(&format!("SIGTERM to the balancer {}", restarted.ip));
-    restarted.signal(Signal::SIGTERM);
-    let until = Instant::now() + Duration::from_secs(12);
-    let settled = Duration::from_secs_f64(CONTACT_S + 0.5);
-    while restarted.starts() < 2
-        || !has_run_for(&restarted, settled)
-        || !has_run_for(&frozen, Duration::from_secs(SETTLED_S))
-    {
-        if Instant::now() > until {
-            return Outcome::Impossible("the balancer has not come back".to_owned());
-        }
-        wait(0.05);
-    }
-    let answers = flows.request();
-    let outcome = judge_resets(deployment, &answers);
-    flows.stop();
-    outcome
-}
