--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -241,7 +241,7 @@
     let routes = |services: &[&str]| {
         [
             route("kept", kept, "safe", &["board"]),
-            route("moved", moved, "unsafe", services),
+            route("moved", moved, "safe", services),
         ]
     };
     let variable = |name: &str| std::env::var(name).unwrap_or_default();
