tests: reserve free addresses with a socket that never listens

Cause: `free_address` of the stand-in bound a listener, closed it and returned its address. A process that another test starts meanwhile holds a copy of the listener between fork and exec, and a listening copy makes the bind of the address fail (AddrInUse in `wait_and_status_ask_the_nodes`).

Change: the socket that reserves the port is bound with SO_REUSEADDR and never listens. A copy that does not listen is no conflict for the servers under test, which bind with SO_REUSEADDR too.

--- a/crates/dogwoodpitch/tests/stand_in/mod.rs
+++ b/crates/dogwoodpitch/tests/stand_in/mod.rs
@@ -6,7 +6,8 @@
 use std::{
     future::Future,
     io::{Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, SocketAddrV4, TcpStream},
+    os::fd::AsRawFd,
     sync::{
         atomic::{AtomicU16, Ordering},
         mpsc,
@@ -15,6 +16,7 @@
 };
 
 use dogwoodpitch::transport::runtime;
+use nix::sys::socket::{self, AddressFamily, SockFlag, SockType, SockaddrIn, sockopt::ReuseAddr};
 use serde_json::Value;
 
 /// Runs a future on a new runtime.
@@ -38,14 +40,18 @@
 
 /// Returns an address on which nothing listens. Each call uses another loopback address, because on a shared one another
 /// test or an outgoing connection could take the port before it is used.
+///
+/// The socket that reserves the port never listens: a process that another test starts meanwhile holds a copy of it until
+/// it executes its program, and a copy that listens would make a bind of the address fail.
 pub(crate) fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = u8::try_from(std::process::id() % 200).unwrap() + 20;
-    TcpListener::bind((Ipv4Addr::new(127, process, high, low), 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    let reserved = socket::socket(AddressFamily::Inet, SockType::Stream, SockFlag::SOCK_CLOEXEC, None).unwrap();
+    socket::setsockopt(&reserved, ReuseAddr, &true).unwrap();
+    socket::bind(reserved.as_raw_fd(), &SockaddrIn::new(127, process, high, low, 0)).unwrap();
+    let address: SockaddrIn = socket::getsockname(reserved.as_raw_fd()).unwrap();
+    SocketAddrV4::from(address).into()
 }
 
 /// Sends a POST request with a JSON body and returns the JSON response.
