steering: bound the time for which a node can miss a change of the configuration

Cause: all balancers waited in a watch of 20 s, agents relied on any live balancer, and nothing else read the key. A node took silence for "no change". Evidence: no node logs `config.applied` for the new version before its watch times out; a failed pull or agents that serve an old route would show it on some nodes.

Change: a read of the store, or a watch that ends, confirms the version in force. Reports carry the age of the last confirmation (one byte; the former build ignores it). The live balancer with the lowest address in a data centre watches the store, one second at a time; the others rely on reports whose confirmation is younger than 2.5 s, and watch the store themselves otherwise. Only watchers hedge their reads in an outage. Logged as `config.watch`, measured as `dogwoodpitch_config_age_seconds`.

--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -22,7 +22,11 @@
     },
     state::{
         roster::Role,
-        steering::{member::Member, route::Table},
+        steering::{
+            freshness::{self, Age, Freshness},
+            member::Member,
+            route::Table,
+        },
     },
     transport::{http, time},
 };
@@ -32,14 +36,19 @@
 /// Interval between attempts of a hedged read. A slow store replies in a third of a second, so it serves one redundant
 /// attempt.
 const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest wait of a watch. The store ends the watch after this time, so a dead connection is detected.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of a watch. The store ends the watch after this time, so a silent connection is detected before a change
+/// that it hides has to be in force.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Pause after the first failure; doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(250);
-/// Longest pause between attempts. Meanwhile new configuration arrives from peers.
+/// Longest pause between attempts of a node that watches the store for others.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
-/// Interval at which an agent checks whether its peers still keep it up to date.
-const PEER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest pause between attempts of another node. New configuration arrives from peers meanwhile.
+const MAX_RELIANT_PAUSE: Duration = Duration::from_secs(4);
+/// Interval at which a node checks whether its peers still keep it up to date.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a node reads the store because it cannot pull a newer version that a peer has shown.
+const PULL_LIMIT: Duration = Duration::from_secs(1);
 /// Time for which an agent with an older configuration waits for a peer in its data centre to pull the newer one from.
 const REMOTE_PULL_DELAY: Duration = Duration::from_millis(300);
 /// Timeout of a pull from a peer.
@@ -50,6 +59,9 @@
 pub(super) struct Config {
     routes: RefCell<Rc<Table>>,
     document: RefCell<Bytes>,
+    freshness: Cell<Freshness>,
+    /// Why this node last had to watch the store.
+    watch_reason: Cell<Option<&'static str>>,
     pulling: Cell<bool>,
     /// When a peer has first shown a newer version than the one in force.
     outdated_since: Cell<Option<Instant>>,
@@ -63,6 +75,17 @@
     pub(super) fn document(&self) -> Bytes {
         self.document.borrow().clone()
     }
+
+    /// Age of the last confirmation that the store holds no newer version.
+    pub(super) fn age(&self, now: Instant) -> Option<Age> {
+        self.freshness.get().age(now)
+    }
+
+    fn update_freshness(&self, update: impl FnOnce(&mut Freshness)) {
+        let mut freshness = self.freshness.get();
+        update(&mut freshness);
+        self.freshness.set(freshness);
+    }
 }
 
 /// Reads the configuration and watches it for changes until the process exits.
@@ -74,59 +97,100 @@
             log::warn!(event = "store.unavailable", call = "config", error:% = error; "configuration cannot be read");
         }
         let next = Instant::now() + pause.mul_f64(rand::rng().random_range(0.6..1.4));
-        // Nothing is served without routes, so without them the pause stays short to find the store as soon as it is back.
-        let max_pause = if node.routes().is_loaded() {
-            MAX_PAUSE
-        } else {
-            MIN_PAUSE
-        };
-        pause = (pause * 2).min(max_pause);
+        pause = (pause * 2).min(max_pause(&node, Instant::now()));
         time::sleep_until(next).await;
     }
 }
 
+fn max_pause(node: &Node, now: Instant) -> Duration {
+    if !node.routes().is_loaded() {
+        // Nothing is served without routes, so the pause stays short to find the store as soon as it is back.
+        MIN_PAUSE
+    } else if is_watcher(node, now) {
+        MAX_PAUSE
+    } else {
+        MAX_RELIANT_PAUSE
+    }
+}
+
 async fn read_and_watch(node: &Rc<Node>, pause: &mut Duration) -> Result<(), crate::coordination::store::Error> {
     let key = node.platform.config_key;
     let store = &node.platform.store;
-    let deadline = Instant::now() + READ_TIMEOUT;
-    let response = kv::read_hedged(|| (store.get)(key.to_owned(), deadline), HEDGE_INTERVAL, deadline).await?;
-    let mut revision = response.revision;
-    apply_entries(node, response, "store");
+    let mut revision = None;
     loop {
-        *pause = MIN_PAUSE;
-        if is_updated_by_peers(node, Instant::now()) {
-            time::sleep_until(Instant::now() + PEER_CHECK_INTERVAL).await;
+        let now = Instant::now();
+        if !is_watch_needed(node, now) {
+            *pause = MIN_PAUSE;
+            time::sleep_until(now + PEER_CHECK_INTERVAL).await;
             continue;
         }
-        let watch = (store.watch)(key.to_owned(), revision, Instant::now() + WATCH_WAIT).await?;
-        match watch {
+        let Some(after) = revision else {
+            revision = Some(read(node).await?);
+            *pause = MIN_PAUSE;
+            continue;
+        };
+        let until = now + WATCH_WAIT;
+        match (store.watch)(key.to_owned(), after, until).await? {
             Watch::Changes(response) => {
-                revision = revision.max(response.revision);
+                revision = Some(after.max(response.revision));
                 apply_entries(node, response, "watch");
+                let confirmed_at = until.min(Instant::now());
+                node.config
+                    .update_freshness(|freshness| freshness.confirm(confirmed_at));
             }
-            Watch::Compacted => {
-                let response = (store.get)(key.to_owned(), Instant::now() + READ_TIMEOUT).await?;
-                revision = response.revision;
-                apply_entries(node, response, "store");
-            }
+            Watch::Compacted => revision = None,
         }
     }
 }
 
-/// Whether an agent needs no watch of its own, because a balancer in its data centre reports newer versions. Calls to the
-/// store thus do not grow with the number of agents. If newer versions cannot be pulled, the agent reads the store itself.
-fn is_updated_by_peers(node: &Node, now: Instant) -> bool {
-    let is_outdated = node
-        .config
-        .outdated_since
-        .get()
-        .is_some_and(|since| now >= since + PEER_CHECK_INTERVAL);
-    let reports = |member: &Member| {
-        member.report.role == Role::Balancer
-            && member.report.data_centre == node.settings.data_centre
-            && member.is_alive(now)
+/// Reads the configuration and returns the revision from which a watch can continue.
+async fn read(node: &Rc<Node>) -> Result<u64, crate::coordination::store::Error> {
+    let now = Instant::now();
+    let deadline = now + READ_TIMEOUT;
+    // The other nodes wait for a watcher to find the store as soon as it is back.
+    let interval = if is_watcher(node, now) || !node.routes().is_loaded() {
+        HEDGE_INTERVAL
+    } else {
+        READ_TIMEOUT
     };
-    node.settings.role() == Role::Agent && !is_outdated && node.members.borrow().iter().any(reports)
+    let get = || (node.platform.store.get)(node.platform.config_key.to_owned(), deadline);
+    let response = kv::read_hedged(get, interval, deadline).await?;
+    let revision = response.revision;
+    apply_entries(node, response, "store");
+    node.config.update_freshness(|freshness| freshness.confirm(now));
+    Ok(revision)
+}
+
+/// Whether a node has to watch the store, because others rely on it or because its peers do not keep it up to date. Calls to
+/// the store thus do not grow with the number of nodes.
+fn is_watch_needed(node: &Node, now: Instant) -> bool {
+    let reason = if is_watcher(node, now) {
+        Some("watches for its data centre")
+    } else if !node.config.freshness.get().is_confirmed_by_peers(now) {
+        Some("no recent confirmation by a peer")
+    } else if is_outdated(node, now) {
+        Some("newer version of a peer cannot be pulled")
+    } else {
+        None
+    };
+    if node.config.watch_reason.replace(reason) != reason {
+        log::info!(
+            event = "config.watch", needed = reason.is_some(), reason = reason.unwrap_or("kept up to date by peers");
+            "source of configuration changes"
+        );
+    }
+    reason.is_some()
+}
+
+fn is_outdated(node: &Node, now: Instant) -> bool {
+    let outdated_since = node.config.outdated_since.get();
+    outdated_since.is_some_and(|since| now >= since + PULL_LIMIT)
+}
+
+fn is_watcher(node: &Node, now: Instant) -> bool {
+    let settings = &node.settings;
+    let members = node.members.borrow();
+    freshness::is_watcher(settings.ip, settings.role(), &settings.data_centre, &members, now)
 }
 
 fn apply_entries(node: &Rc<Node>, response: Response, source: &'static str) {
@@ -174,9 +238,25 @@
     node.send_report_to(|member| local_role == Role::Balancer || member.report.role == Role::Balancer);
 }
 
+/// Handles the version in a report of a peer, and the confirmation of it.
+pub(super) fn handle_reported_version(
+    node: &Rc<Node>,
+    peer: Ipv4Addr,
+    version: u64,
+    confirmed: Option<Age>,
+    now: Instant,
+) {
+    if version > node.routes().version {
+        handle_newer_version(node, peer, now);
+    } else if let Some(age) = confirmed {
+        node.config
+            .update_freshness(|freshness| freshness.confirm_by_peer(age, now));
+    }
+}
+
 /// Handles the report of a newer version by a peer. An agent prefers peers in its data centre, so that the first balancer to
 /// read a change does not have to serve all agents.
-pub(super) fn handle_newer_version(node: &Rc<Node>, peer: Ipv4Addr, now: Instant) {
+fn handle_newer_version(node: &Rc<Node>, peer: Ipv4Addr, now: Instant) {
     let since = node.config.outdated_since.get().unwrap_or(now);
     node.config.outdated_since.set(Some(since));
     let is_remote = |member: &Member| member.report.data_centre != node.settings.data_centre;
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -41,7 +41,7 @@
 
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
-/// Ticks between removals of expired entries of a balancer.
+/// Ticks between removals of expired entries of a balancer, and between updates of the metrics.
 const EXPIRE_TICKS: u64 = 5;
 /// A tick that is late by more than this means that the process was paused and has not read the reports of others.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(400);
@@ -234,6 +234,7 @@
             version: self.routes().version,
             vacant: self.is_vacant(),
             greeting,
+            confirmed: self.config.age(now),
         }
     }
 
@@ -346,7 +347,7 @@
 
     fn handle_report(self: &Rc<Self>, from: Ipv4Addr, report: Report) {
         let now = Instant::now();
-        let (version, stance) = (report.version, report.stance);
+        let (version, confirmed, stance) = (report.version, report.confirmed, report.stance);
         let message = if report.greeting {
             discovery::Message::ReportRequest
         } else {
@@ -364,9 +365,8 @@
             agent::update_agent(self, &[], |agent, _, out| agent.handle_peer_restart(from, out));
         }
         self.reply(from, message, matches!(change, Change::New { .. }));
-        if version > self.routes().version {
-            config::handle_newer_version(self, from, now);
-        }
+        let confirmed = confirmed.filter(|_| change != Change::Stale);
+        config::handle_reported_version(self, from, version, confirmed, now);
     }
 
     fn reply(&self, to: Ipv4Addr, message: discovery::Message, new: bool) {
@@ -508,10 +508,13 @@
         agent.remove_nodes(&gone);
         agent.tick(members, now, out);
     });
-    if let State::Balancer(balancer) = &mut *node.state.borrow_mut()
-        && ticks.is_multiple_of(EXPIRE_TICKS)
-    {
-        balancer.expire(now);
+    if ticks.is_multiple_of(EXPIRE_TICKS) {
+        if let State::Balancer(balancer) = &mut *node.state.borrow_mut() {
+            balancer.expire(now);
+        }
+        if let Some(age) = node.config.age(now) {
+            metrics::gauge!("dogwoodpitch_config_age_seconds").set(age.seconds());
+        }
     }
     let life = node.life(now);
     // The change was already reported immediately. This repeats the report in case it was lost.
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! A [`balancer`] places the first packet of a flow and caches the chosen agent. An [`agent`] tracks the flows of its
 //! local backend server. It finds the owner of any other flow by a [`mod@pointer`] or by a [`search`] among its peers, the
-//! other agents of the same service. All nodes know one another ([`member`]) and the routes ([`route`]).
+//! other agents of the same service. All nodes know one another ([`member`]) and the routes ([`route`]), and tell one another
+//! since when those are known to be the newest ([`freshness`]).
 
 pub mod admission;
 pub mod agent;
@@ -13,6 +14,7 @@
 pub mod coverage;
 pub mod discovery;
 pub mod evidence;
+pub mod freshness;
 pub mod member;
 pub mod placement;
 pub mod pointer;
--- a/crates/dogwoodpitch/src/state/steering/report.rs
+++ b/crates/dogwoodpitch/src/state/steering/report.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::state::roster::Role;
+use crate::state::{roster::Role, steering::freshness::Age};
 
 /// Which flows a node serves, by its own report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +45,8 @@
     pub vacant: bool,
     /// Whether the sender requests a report in return, because it has not received one from the receiver yet.
     pub greeting: bool,
+    /// Time since the last moment at which the store is known to have held no newer version.
+    pub confirmed: Option<Age>,
 }
 
 impl Report {
@@ -54,11 +56,25 @@
     }
 }
 
-type ReportFields = (Role, u64, u64, Bytes, Bytes, Stance, Load, u64, bool, bool);
+/// Fields of a [`Report`]. Processes of earlier builds do not send the last one, and ignore it.
+#[derive(Serialize, Deserialize)]
+struct ReportFields(
+    Role,
+    u64,
+    u64,
+    Bytes,
+    Bytes,
+    Stance,
+    Load,
+    u64,
+    bool,
+    bool,
+    #[serde(default)] Option<Age>,
+);
 
 impl From<Report> for ReportFields {
     fn from(report: Report) -> Self {
-        (
+        Self(
             report.role,
             report.incarnation,
             report.number,
@@ -69,6 +85,7 @@
             report.version,
             report.vacant,
             report.greeting,
+            report.confirmed,
         )
     }
 }
@@ -86,6 +103,7 @@
             version: fields.7,
             vacant: fields.8,
             greeting: fields.9,
+            confirmed: fields.10,
         }
     }
 }
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -3,6 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use bytes::Bytes;
 use ciborium::Value;
 use dogwoodpitch::{
     protocol::{
@@ -14,7 +15,10 @@
     state::{
         roster::Role,
         service::Id,
-        steering::report::{Load, Report, Stance},
+        steering::{
+            freshness::Age,
+            report::{Load, Report, Stance},
+        },
     },
     transport::udp::MAX_DATAGRAM,
 };
@@ -119,6 +123,7 @@
         version: u64::from(u32::MAX),
         vacant: true,
         greeting: true,
+        confirmed: Some(Age(u8::MAX)),
     }
 }
 
@@ -141,6 +146,43 @@
     assert!(steer::HEADER_LEN + bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
 }
 
+/// Nodes of the build before reports told the age of the configuration run beside new ones during an update.
+#[test]
+fn reports_are_exchanged_with_the_build_that_has_no_age() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    enum Former {
+        Report(FormerReport),
+    }
+    type FormerReport = (Role, u64, u64, Bytes, Bytes, Stance, Load, u64, bool, bool);
+    let report = report();
+    let former: FormerReport = (
+        report.role,
+        report.incarnation,
+        report.number,
+        report.data_centre.clone(),
+        report.service.clone(),
+        report.stance,
+        report.load,
+        report.version,
+        report.vacant,
+        report.greeting,
+    );
+    let node = steer::encode_node(Ipv4Addr::LOCALHOST, &report);
+    let bytes = steer::encode(&Message::Report(report.clone()));
+    let decoded: Former = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!(decoded, Former::Report(former.clone()));
+    let decoded: (Ipv4Addr, FormerReport) = node.deserialized().unwrap();
+    assert_eq!(decoded, (Ipv4Addr::LOCALHOST, former.clone()));
+
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Former::Report(former), &mut bytes).unwrap();
+    let without_age = Report {
+        confirmed: None,
+        ..report
+    };
+    assert_eq!(steer::decode(&bytes).unwrap(), Message::Report(without_age));
+}
+
 /// One odd entry in a peer's list must not hide the others. Processes of before send the same bytes.
 #[test]
 fn an_odd_node_in_a_list_leaves_the_others() {
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -174,6 +174,7 @@
         version: 1,
         vacant: false,
         greeting: false,
+        confirmed: None,
     }
 }
 
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -363,6 +363,7 @@
             version: node.version,
             vacant: life.vacant,
             greeting,
+            confirmed: None,
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod build;
 mod cluster;
+mod freshness;
 mod fuzz;
 mod lifetime;
 mod load;
