http: close server connections on which no request arrives

A connection that goes silent, of a backend server, of the platform's readiness checks or of a peer, kept a descriptor and a task until the process ended; the body of a heartbeat was waited for without end.

Change: servers close a connection after 30 s without the head of a request, by the timeout of hyper; bodies are read up to a deadline, one second for a heartbeat.

Callers of the platform call at least each 5 s, so no connection in use is closed.

--- a/crates/dogwoodpitch-lab/src/backend.rs
+++ b/crates/dogwoodpitch-lab/src/backend.rs
@@ -152,7 +152,7 @@
     let termination = Termination::open()?;
     let listener = TcpListener::bind(listen)?;
     let server = Rc::new(server);
-    monoio::spawn(http::serve(listener, move |_peer, request| {
+    monoio::spawn(http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
         answer(Rc::clone(&server), request)
     }));
     termination.requested().await;
@@ -197,7 +197,9 @@
 }
 
 async fn control<T: for<'de> Deserialize<'de>>(request: Request<Incoming>, apply: impl FnOnce(T)) -> Response<Body> {
-    let body = http::read_body(request.into_body()).await.unwrap_or_default();
+    let body = http::read_body(request.into_body(), Instant::now() + http::IDLE_TIMEOUT)
+        .await
+        .unwrap_or_default();
     match serde_json::from_slice(&body) {
         Ok(value) => {
             apply(value);
--- a/crates/dogwoodpitch-lab/src/fabric.rs
+++ b/crates/dogwoodpitch-lab/src/fabric.rs
@@ -150,7 +150,7 @@
         monoio::spawn(run_line(Rc::clone(&fabric)));
     }
     let listener = TcpListener::bind(options.control)?;
-    monoio::spawn(http::serve(listener, move |_peer, request| {
+    monoio::spawn(http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
         control(Rc::clone(&fabric), request)
     }));
     termination.requested().await;
@@ -398,7 +398,7 @@
 
 async fn control(fabric: Rc<Fabric>, request: Request<Incoming>) -> Response<http::Body> {
     let (parts, body) = request.into_parts();
-    let body = match http::read_body(body).await {
+    let body = match http::read_body(body, Instant::now() + http::IDLE_TIMEOUT).await {
         Ok(body) => body,
         Err(error) => return refuse(&error),
     };
--- a/crates/dogwoodpitch-lab/src/gateway.rs
+++ b/crates/dogwoodpitch-lab/src/gateway.rs
@@ -70,12 +70,15 @@
         revision: 1,
         ..State::default()
     }));
-    http::serve(listener, move |_peer, request| answer(Rc::clone(&state), request)).await;
+    http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
+        answer(Rc::clone(&state), request)
+    })
+    .await;
 }
 
 async fn answer(state: Rc<RefCell<State>>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
-    let Ok(body) = http::read_body(request.into_body()).await else {
+    let Ok(body) = http::read_body(request.into_body(), Instant::now() + http::IDLE_TIMEOUT).await else {
         return error(StatusCode::BAD_REQUEST, "body cannot be read");
     };
     match path.as_str() {
--- a/crates/dogwoodpitch/src/coordination/status.rs
+++ b/crates/dogwoodpitch/src/coordination/status.rs
@@ -70,7 +70,7 @@
     let handler = move |_peer, request: hyper::Request<hyper::body::Incoming>| {
         std::future::ready(answer(request.method(), request.uri().path()))
     };
-    monoio::spawn(http::serve(listener, handler));
+    monoio::spawn(http::serve(listener, http::IDLE_TIMEOUT, handler));
     Ok(())
 }
 
--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -31,6 +31,8 @@
     transport::{http, time},
 };
 
+/// Timeout for the body of a call of the backend server, which expects the reply within a second.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long packets may stay unanswered before the backend server's address is checked.
 const UNANSWERED_LIMIT: Duration = Duration::from_millis(300);
 /// Connect timeout of a check; the backend server is on the same VM.
@@ -54,11 +56,11 @@
     spawn_critical("outbound", receive(Rc::clone(node)));
     let listener = TcpListener::bind(backend.heartbeats)?;
     let heartbeats = Rc::clone(node);
-    monoio::spawn(http::serve(listener, move |_peer, request| {
+    monoio::spawn(http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
         let node = Rc::clone(&heartbeats);
         async move {
             let (head, body) = request.into_parts();
-            let body = match http::read_body(body).await {
+            let body = match http::read_body(body, Instant::now() + CALL_TIMEOUT).await {
                 Ok(body) => body,
                 Err(error) => {
                     reject(node.settings.ip, &error.to_string());
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -423,7 +423,7 @@
     let ready = TcpListener::bind(node.settings.ready)?;
     let calls = TcpListener::bind(SocketAddrV4::new(node.settings.ip, node.settings.port))?;
     let readiness = Rc::clone(node);
-    monoio::spawn(http::serve(ready, move |_peer, _request| {
+    monoio::spawn(http::serve(ready, http::IDLE_TIMEOUT, move |_peer, _request| {
         let status = if readiness.is_ready() {
             StatusCode::OK
         } else {
@@ -433,7 +433,7 @@
     }));
     match TcpListener::bind(node.settings.metrics()) {
         Ok(metrics) => {
-            monoio::spawn(http::serve(metrics, move |_peer, _request| {
+            monoio::spawn(http::serve(metrics, http::IDLE_TIMEOUT, move |_peer, _request| {
                 let text = recorder.render();
                 async move { http::response(StatusCode::OK, "text/plain; version=0.0.4", text) }
             }));
@@ -443,7 +443,7 @@
     }
     let pulled = Rc::clone(node);
     Ok(async move {
-        http::serve(calls, move |_peer, _request| {
+        http::serve(calls, http::IDLE_TIMEOUT, move |_peer, _request| {
             let body: Bytes = pulled.config.document();
             async move { http::response(StatusCode::OK, "application/octet-stream", body) }
         })
--- a/crates/dogwoodpitch/src/transport/http.rs
+++ b/crates/dogwoodpitch/src/transport/http.rs
@@ -1,6 +1,13 @@
 //! HTTP/1.1 client and server on the `monoio` runtime.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
@@ -14,7 +21,7 @@
     io::IntoPollIo,
     net::{TcpListener, TcpStream},
 };
-use monoio_compat::hyper::MonoioIo;
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use snafu::{ResultExt, Snafu};
 
 use crate::transport::time;
@@ -23,6 +30,9 @@
 /// in one response.
 pub const MAX_BODY_LEN: usize = 64 * 1024 * 1024;
 
+/// Time without a request after which a server closes a connection. Clients that call less often open another one.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Response body.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -104,9 +114,10 @@
         .unwrap_or(Err(Error::Timeout { address }))
 }
 
-/// Reads a whole request body of up to [`MAX_BODY_LEN`].
-pub async fn read_body(body: Incoming) -> io::Result<Bytes> {
-    let body = Limited::new(body, MAX_BODY_LEN).collect().await;
+/// Reads a whole request body of up to [`MAX_BODY_LEN`] before the deadline.
+pub async fn read_body(body: Incoming, deadline: Instant) -> io::Result<Bytes> {
+    let body = time::timeout_at(deadline, Limited::new(body, MAX_BODY_LEN).collect()).await;
+    let body = body.ok_or(io::ErrorKind::TimedOut)?;
     body.map(http_body_util::Collected::to_bytes).map_err(io::Error::other)
 }
 
@@ -131,8 +142,8 @@
 }
 
 /// Serves each connection in a task of its own until the future is dropped. The handler gets the peer's address and the
-/// request.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+/// request. A connection on which no request arrives for the idle timeout is closed: its peer may be gone without a trace.
+pub async fn serve<H, F>(listener: TcpListener, idle_timeout: Duration, handler: H)
 where
     H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
@@ -155,8 +166,10 @@
                 let response = handler(peer, request);
                 async move { Ok::<_, Infallible>(response.await) }
             });
-            let connection =
-                hyper::server::conn::http1::Builder::new().serve_connection(MonoioIo::new(stream), service);
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(MonoioTimer)
+                .header_read_timeout(idle_timeout)
+                .serve_connection(MonoioIo::new(stream), service);
             if let Err(error) = connection.await {
                 ::log::debug!(event = "http.connection_lost", peer:% = peer, error:% = error; "HTTP connection lost");
             }
--- a/crates/dogwoodpitch/tests/agent.rs
+++ b/crates/dogwoodpitch/tests/agent.rs
@@ -282,7 +282,7 @@
         let backend_address = free_tcp();
         let listener = monoio::net::TcpListener::bind(backend_address).expect("the backend server listens");
         let state = Rc::clone(&backend);
-        monoio::spawn(http::serve(listener, move |_peer, request| {
+        monoio::spawn(http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
             answer(Rc::clone(&state), request)
         }));
         let certificate = rcgen::generate_simple_self_signed(vec![SERVICE.to_owned()]).expect("a certificate");
