exchange: close all idle links to a peer after one has been silent

Cause: idle links to a peer are used again.

Change: an offer that times out on an idle link closes the other idle links to that peer. The next offer opens a new one.

Result: `silent_links_are_not_used_one_after_the_other` failed on the former code ("timed out" at the second offer) and passes, with the other tests of `exchange`.

--- a/crates/dogwoodpitch/src/coordination/exchange.rs
+++ b/crates/dogwoodpitch/src/coordination/exchange.rs
@@ -404,7 +404,12 @@
                 link.recv::<Message>().await
             };
             match time::timeout_at(limit, exchange).await {
-                None => return Err(io::ErrorKind::TimedOut.into()),
+                None => {
+                    if from_pool {
+                        guard.discard_idle();
+                    }
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
                 Some(Ok(message)) => return Ok((link, guard, message)),
                 // The peer may have closed an idle link, or is a new incarnation. Retrying is safe: the peer runs nothing
                 // without a body, and the end of the link has cancelled the offer.
@@ -608,6 +613,13 @@
         Some(pools.get_mut(&self.peer)?.idle.pop()?.0)
     }
 
+    /// Closes the idle links to the peer: what has made one of them silent may have reached all.
+    fn discard_idle(&self) {
+        if let Some(pool) = self.exchange.pools.borrow_mut().get_mut(&self.peer) {
+            pool.idle.clear();
+        }
+    }
+
     fn return_link(self, link: Link) {
         let mut pools = self.exchange.pools.borrow_mut();
         if let Some(pool) = pools.get_mut(&self.peer)
--- a/crates/dogwoodpitch/tests/exchange.rs
+++ b/crates/dogwoodpitch/tests/exchange.rs
@@ -4,9 +4,14 @@
     cell::Cell,
     collections::{BTreeMap, HashSet},
     future::pending,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
     rc::Rc,
-    sync::atomic::{AtomicU8, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU32, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -347,7 +352,10 @@
 }
 
 async fn offer(from: &Agent, to: &Agent) -> Result<String, Reply> {
-    let peer: SocketAddr = to.replica.local_node().peer;
+    offer_at(from, to.replica.local_node().peer).await
+}
+
+async fn offer_at(from: &Agent, peer: SocketAddr) -> Result<String, Reply> {
     let head = head(Kind::Request, 0);
     let offered = from.exchange.offer(peer, SERVICE, "caller", &head, deadline());
     let mut remote = offered.await?;
@@ -490,6 +498,58 @@
     });
 }
 
+/// TCP proxy whose open connections can fall silent while new ones work.
+#[derive(Clone, Default)]
+struct Proxy(Arc<AtomicU32>);
+
+impl Proxy {
+    fn spawn(&self, upstream: SocketAddr) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let silences = Arc::clone(&self.0);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let far = TcpStream::connect(upstream).unwrap();
+                let opened = silences.load(Ordering::SeqCst);
+                for (from, to) in [(&near, &far), (&far, &near)] {
+                    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                    let silences = Arc::clone(&silences);
+                    thread::spawn(move || {
+                        let mut buffer = [0; 4096];
+                        while let Ok(count @ 1..) = from.read(&mut buffer) {
+                            if silences.load(Ordering::SeqCst) == opened && to.write_all(&buffer[..count]).is_err() {
+                                return;
+                            }
+                        }
+                    });
+                }
+            }
+        });
+        address
+    }
+
+    fn silence_connections(&self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// After the links to a peer had fallen silent, each idle one made an offer fail after a second.
+#[test]
+fn silent_links_are_not_used_one_after_the_other() {
+    run(async {
+        let agents = fleet(&["a", "b"], Policy::Product);
+        let [a, b] = &agents[..] else { panic!("two agents") };
+        until("b reports", || a.exchange.is_alive(b.replica.local_node())).await;
+        let proxy = Proxy::default();
+        let address = proxy.spawn(b.replica.local_node().peer);
+        let both = join_all((0..2).map(|_| offer_at(a, address))).await;
+        assert!(both.iter().all(Result::is_ok), "{both:?}");
+        proxy.silence_connections();
+        assert!(offer_at(a, address).await.unwrap_err().code.is_not_run());
+        assert_eq!(offer_at(a, address).await.unwrap(), "6");
+    });
+}
+
 /// Guards against control traffic that exceeds its budget of 4 KB/s per node.
 #[test]
 fn a_load_report_is_small() {
