agent: open silent feeds again

Cause: a feed waits for events on a connection to the backend server, or on a link to a peer, without a bound. If it goes silent, the caller hears of no further event, and nothing tells it.

Change: after 5 s without an event the feed is opened again at its position. The old source is read on if none can be opened, because it may just have no news; events that come twice are left out by their position, as before.

Result: `a_silent_feed_is_opened_again_and_kept_until_then` failed on the former code (no second feed within a minute) and passes, with the other tests of `agent`.

A source without news costs the backend server a connection each 5 s.

--- a/crates/dogwoodpitch/src/agent/feed.rs
+++ b/crates/dogwoodpitch/src/agent/feed.rs
@@ -29,6 +29,9 @@
 /// Maximum number of consecutive sources that fail without an event. After that the feed ends, and the caller resumes it
 /// at another agent.
 const MAX_FAILURES: u32 = 3;
+/// Time without an event after which a feed is opened again at its position: a silent source may have no news, or may be out of
+/// reach behind a connection that does not break. It is read on until another source is open.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Delay before a failed feed is resumed, so that a failing backend server is not called in a tight loop.
 const RESUME_DELAY: Duration = Duration::from_millis(100);
 
@@ -77,6 +80,14 @@
     }
 }
 
+/// Why the events of a source are no longer forwarded.
+enum Pause {
+    /// The source has been silent for [`SILENCE_LIMIT`].
+    Silent,
+    /// The source failed.
+    Failed(String),
+}
+
 /// Runs a feed of a caller until the caller cancels it or no backend server can continue it.
 pub(super) async fn run(agent: &Agent, stream: &mut Stream, request: &Request) {
     let _guard = Guard::start();
@@ -84,6 +95,7 @@
     let mut position = request.head.position;
     let mut replied = false;
     let mut failures = 0;
+    let mut silent = None;
     let (code, detail) = loop {
         let opening = time::timeout_at(Instant::now() + OPEN_TIMEOUT, open(agent, request, position));
         let opened = match select(pin!(opening), pin!(wait_for_cancellation(stream))).await {
@@ -91,9 +103,9 @@
             Either::Left((None, _)) => Err(reply(Code::NO_BACKEND, "feed did not open in time")),
             Either::Right((cause, _)) => break (Code::CANCELLED, cause),
         };
-        let source = match opened {
-            Ok(source) => source,
-            Err(refusal) => {
+        let mut source = match (opened, silent.take()) {
+            (Ok(source), _) | (Err(_), Some(source)) => source,
+            (Err(refusal), None) => {
                 // A feed that was already confirmed just ends, and the caller resumes it elsewhere at its position.
                 if !replied {
                     let _ = stream.reply(&refusal).await;
@@ -109,8 +121,12 @@
             }
         }
         let before = position;
-        let cause = match forward_events(stream, source, &mut position).await {
-            Ok(cause) => cause,
+        let cause = match forward_events(stream, &mut source, &mut position).await {
+            Ok(Pause::Silent) => {
+                silent = Some(source);
+                continue;
+            }
+            Ok(Pause::Failed(cause)) => cause,
             Err(cause) => break (Code::CANCELLED, cause),
         };
         failures = if position > before { 1 } else { failures + 1 };
@@ -126,18 +142,22 @@
     record_completion(request, code, &detail, started);
 }
 
-/// Runs a feed that a peer offered. The feed ends when its source fails, and the peer resumes it.
-pub(super) async fn run_admitted(stream: &mut Stream, request: &Request, source: Source) {
+/// Runs a feed that a peer offered. The feed ends when its source fails, and the peer resumes it. A silent one is left to the
+/// peer, too.
+pub(super) async fn run_admitted(stream: &mut Stream, request: &Request, mut source: Source) {
     let _guard = Guard::start();
     let started = Instant::now();
     let mut position = request.head.position;
     let (code, detail) = match stream.reply(&reply(Code::OK, "")).await {
-        Ok(()) => match forward_events(stream, source, &mut position).await {
-            Ok(cause) => {
-                let _ = stream.finish().await;
-                (Code::BACKEND_LOST, cause)
+        Ok(()) => loop {
+            match forward_events(stream, &mut source, &mut position).await {
+                Ok(Pause::Silent) => {}
+                Ok(Pause::Failed(cause)) => {
+                    let _ = stream.finish().await;
+                    break (Code::BACKEND_LOST, cause);
+                }
+                Err(cause) => break (Code::CANCELLED, cause),
             }
-            Err(cause) => (Code::CANCELLED, cause),
         },
         Err(error) => (Code::CANCELLED, error.to_string()),
     };
@@ -182,12 +202,14 @@
     Err(refusal)
 }
 
-/// Forwards events until the source fails (`Ok` with the cause) or the caller cancels the feed (`Err` with the cause).
-async fn forward_events(stream: &mut Stream, mut source: Source, position: &mut u64) -> Result<String, String> {
+/// Forwards events until the source fails or falls silent (`Ok`), or the caller cancels the feed (`Err` with the cause).
+async fn forward_events(stream: &mut Stream, source: &mut Source, position: &mut u64) -> Result<Pause, String> {
     loop {
-        let event = match select(pin!(source.next()), pin!(wait_for_cancellation(stream))).await {
-            Either::Left((Ok(event), _)) => event,
-            Either::Left((Err(cause), _)) => return Ok(cause),
+        let next = time::timeout_at(Instant::now() + SILENCE_LIMIT, source.next());
+        let event = match select(pin!(next), pin!(wait_for_cancellation(stream))).await {
+            Either::Left((Some(Ok(event)), _)) => event,
+            Either::Left((Some(Err(cause)), _)) => return Ok(Pause::Failed(cause)),
+            Either::Left((None, _)) => return Ok(Pause::Silent),
             Either::Right((cause, _)) => return Err(cause),
         };
         // A resumed source may repeat events up to the position.
--- a/crates/dogwoodpitch/tests/agent.rs
+++ b/crates/dogwoodpitch/tests/agent.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     future::Future,
+    io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
     rc::Rc,
     time::{Duration, Instant},
@@ -39,7 +40,7 @@
         websocket::Link,
     },
 };
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, channel};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
 const SERVICE: &str = "order-board";
@@ -206,6 +207,30 @@
     draining: Cell<bool>,
     /// While this is set, the server neither reads bodies nor answers requests.
     paused: Cell<bool>,
+    /// Open feeds; a third one is refused.
+    feeds: RefCell<Vec<channel::Sender<Bytes, io::Error>>>,
+    refused_feeds: Cell<u64>,
+}
+
+fn open_feed(backend: &State) -> Response<Body> {
+    let mut feeds = backend.feeds.borrow_mut();
+    if feeds.len() == 2 {
+        backend.refused_feeds.set(backend.refused_feeds.get() + 1);
+        return http::response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "no more feeds");
+    }
+    let (sender, body) = channel::Channel::new(1);
+    feeds.push(sender);
+    Response::new(body.boxed_unsync())
+}
+
+/// Sends an event on the feed that was opened last.
+async fn send_event(backend: &State, position: u64) {
+    let event = serde_json::json!({ "position": position, "payload": "" });
+    let mut feed = backend.feeds.borrow_mut().pop().expect("an open feed");
+    feed.send_data(format!("{event}\n").into())
+        .await
+        .expect("the feed is open");
+    backend.feeds.borrow_mut().push(feed);
 }
 
 /// Counts a body as broken when it is dropped.
@@ -223,6 +248,9 @@
         let status = if backend.draining.get() { "draining" } else { "ok" };
         return http::json_response(StatusCode::OK, &serde_json::json!({ "status": status }));
     }
+    if path == "/feed" {
+        return open_feed(&backend);
+    }
     if request.method() == Method::GET {
         let load = serde_json::json!({"slots_total": 2, "slots_busy": 0, "connections": 0});
         return http::json_response(StatusCode::OK, &load);
@@ -574,3 +602,28 @@
         }
     });
 }
+
+/// A feed whose connection to the backend server went silent stayed open for good, and its caller heard of no further event. One
+/// that may just have no news must not be given up for it.
+#[test]
+fn a_silent_feed_is_opened_again_and_kept_until_then() {
+    run(async {
+        let fixture = Fixture::open();
+        let backend = Rc::clone(&fixture.backend);
+        let mut feed = fixture.session().feed(0);
+        let events = monoio::spawn(async move {
+            let mut positions = Vec::new();
+            while positions.len() < 3 {
+                positions.push(feed.next().await.position);
+            }
+            positions
+        });
+        wait_until(|| backend.feeds.borrow().len() == 1).await;
+        send_event(&backend, 1).await;
+        wait_until(|| backend.feeds.borrow().len() == 2).await;
+        send_event(&backend, 2).await;
+        wait_until(|| backend.refused_feeds.get() > 0).await;
+        send_event(&backend, 3).await;
+        assert_eq!(events.await, [1, 2, 3]);
+    });
+}
