steering: report no age of the configuration over 25.5 s

Cause: found by reading. Ages in reports take one byte, and one over 25.5 s was reported as 25.5 s. Two nodes that repeat it to each other would keep it there, and `dogwoodpitch_config_age_seconds` would never show more in a long outage.

Change: such an age is left out of reports; the metric is the node's own age. The test of repeated confirmations now runs over a minute, and checks at each step that no node believes in a younger confirmation than there was.

--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -76,9 +76,8 @@
         self.document.borrow().clone()
     }
 
-    /// Age of the last confirmation that the store holds no newer version.
-    pub(super) fn age(&self, now: Instant) -> Option<Age> {
-        self.freshness.get().age(now)
+    pub(super) fn freshness(&self) -> Freshness {
+        self.freshness.get()
     }
 
     fn update_freshness(&self, update: impl FnOnce(&mut Freshness)) {
@@ -166,7 +165,7 @@
 fn is_watch_needed(node: &Node, now: Instant) -> bool {
     let reason = if is_watcher(node, now) {
         Some("watches for its data centre")
-    } else if !node.config.freshness.get().is_confirmed_by_peers(now) {
+    } else if !node.config.freshness().is_confirmed_by_peers(now) {
         Some("no recent confirmation by a peer")
     } else if is_outdated(node, now) {
         Some("newer version of a peer cannot be pulled")
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -234,7 +234,7 @@
             version: self.routes().version,
             vacant: self.is_vacant(),
             greeting,
-            confirmed: self.config.age(now),
+            confirmed: self.config.freshness().reported_age(now),
         }
     }
 
@@ -512,8 +512,8 @@
         if let State::Balancer(balancer) = &mut *node.state.borrow_mut() {
             balancer.expire(now);
         }
-        if let Some(age) = node.config.age(now) {
-            metrics::gauge!("dogwoodpitch_config_age_seconds").set(age.seconds());
+        if let Some(age) = node.config.freshness().age(now) {
+            metrics::gauge!("dogwoodpitch_config_age_seconds").set(age.as_secs_f64());
         }
     }
     let life = node.life(now);
--- a/crates/dogwoodpitch/src/state/steering/freshness.rs
+++ b/crates/dogwoodpitch/src/state/steering/freshness.rs
@@ -22,7 +22,7 @@
 /// half a second, so an older one means that the watching nodes are gone or cannot reach the store.
 const MAX_AGE: Duration = Duration::from_millis(2_500);
 
-/// Age of a confirmation in tenths of a second, rounded up. Ages of up to 2.3 s take one byte in a report.
+/// Age of a confirmation in a report, in tenths of a second, rounded up. Ages of up to 2.3 s take one byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Age(pub u8);
@@ -30,18 +30,10 @@
 impl Age {
     const UNIT: Duration = Duration::from_millis(100);
 
-    /// Age of a moment. Ages of over 25 s are shown as 25.5 s.
-    fn since(moment: Instant, now: Instant) -> Self {
-        let units = now
-            .saturating_duration_since(moment)
-            .as_millis()
-            .div_ceil(Self::UNIT.as_millis());
-        Self(u8::try_from(units).unwrap_or(u8::MAX))
-    }
-
-    /// The age in seconds.
-    pub fn seconds(self) -> f64 {
-        (Self::UNIT * self.0.into()).as_secs_f64()
+    /// Encodes an age. One of over 25.5 s is not reported.
+    fn encode(age: Duration) -> Option<Self> {
+        let units = age.as_millis().div_ceil(Self::UNIT.as_millis());
+        u8::try_from(units).ok().map(Self)
     }
 
     /// The moment of which this is the age.
@@ -78,8 +70,13 @@
     }
 
     /// Age of the last confirmation; `None` before the first.
-    pub fn age(&self, now: Instant) -> Option<Age> {
-        self.confirmed_at.map(|moment| Age::since(moment, now))
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|moment| now.saturating_duration_since(moment))
+    }
+
+    /// Age of the last confirmation for a report.
+    pub fn reported_age(&self, now: Instant) -> Option<Age> {
+        self.age(now).and_then(Age::encode)
     }
 }
 
--- a/crates/dogwoodpitch/tests/steering/freshness.rs
+++ b/crates/dogwoodpitch/tests/steering/freshness.rs
@@ -51,18 +51,22 @@
     assert_eq!(node.age(start), None);
     peer.confirm(start);
     let mut now = start;
-    while now < start + APPLY_TIME {
+    let tell = |from: &Freshness, to: &mut Freshness, now| {
+        if let Some(age) = from.reported_age(now) {
+            to.confirm_by_peer(age, now);
+        }
+    };
+    while now < start + 20 * APPLY_TIME {
         // Both repeat what they know to each other.
-        let age = peer.age(now).unwrap();
-        node.confirm_by_peer(age, now);
-        peer.confirm_by_peer(node.age(now).unwrap(), now);
-        assert!(node.age(now).unwrap().seconds() >= (now - start).as_secs_f64());
+        tell(&peer, &mut node, now);
+        tell(&node, &mut peer, now);
+        assert!(node.age(now).unwrap() >= now - start);
+        assert!(now < start + APPLY_TIME || !node.is_confirmed_by_peers(now));
         now += Duration::from_millis(70);
     }
-    assert!(!node.is_confirmed_by_peers(now));
     assert!(!peer.is_confirmed_by_peers(now));
     peer.confirm(now);
-    node.confirm_by_peer(peer.age(now).unwrap(), now);
+    tell(&peer, &mut node, now);
     assert!(node.is_confirmed_by_peers(now));
 }
 
@@ -72,6 +76,6 @@
     let now = Instant::now();
     let mut node = Freshness::default();
     node.confirm(now);
-    assert_eq!(node.age(now), Some(Age(0)));
+    assert_eq!(node.reported_age(now), Some(Age(0)));
     assert!(!node.is_confirmed_by_peers(now));
 }
