--- a/crates/dogwoodpitch/src/state/steering/agent.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -1,5 +1,9 @@
 //! Decisions of an agent: which packets to deliver to its backend server, and which peer holds any other flow.
 
+mod effect;
+mod established;
+mod opening;
+
 use std::{
     collections::{BTreeSet, HashMap},
     net::{Ipv4Addr, SocketAddrV4},
@@ -7,28 +11,27 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
-
-use crate::state::{
-    roster::Role,
-    steering::{
-        admission::{self, Queue, Syn, Work},
-        backend::{Backend, Heartbeat, Outcome, Phase, Refusal},
-        coverage::{self, Coverage},
-        evidence::{Evidence, Holding},
-        member::{Member, Members, SUSPECT_AFTER},
-        placement::{self, Candidate},
-        pointer::{self, Pointers},
-        probe::Probes,
-        rank,
-        report::{Load, Stance},
-        route::{Retry, Table as Routes},
-        search::{Progress, Searches},
-        segment::{Flags, Flow, Segment},
-        table::{Entry, Match, POINTER_MIN_AGE, State, Table},
-    },
+pub use self::effect::{Effect, Hop, Note};
+use self::{
+    effect::{Origin, log, reset, send_note},
+    established::reset_if_not_found,
 };
+use crate::state::steering::{
+    admission::Queue,
+    backend::{Backend, Heartbeat, Outcome, Phase, Refusal},
+    coverage::{self, Coverage},
+    evidence::{Evidence, Holding},
+    member::{Member, Members, SUSPECT_AFTER},
+    pointer::{self, Pointers},
+    probe::Probes,
+    rank,
+    report::{Load, Stance},
+    route::Table as Routes,
+    search::Searches,
+    segment::{Flags, Flow, Segment},
+    table::{Entry, POINTER_MIN_AGE, State, Table},
+};
+use bytes::Bytes;
 
 /// Maximum number of times that a packet is forwarded from agent to agent.
 const MAX_HOPS: u8 = 3;
@@ -41,148 +44,6 @@
 /// Maximum number of flows in one note, which must fit into a datagram.
 const MAX_FLOWS_PER_NOTE: usize = 80;
 
-/// How a packet reached this agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Hop {
-    /// Node that forwarded the packet to this agent.
-    pub sender: Ipv4Addr,
-    /// Balancer that received the packet from the client.
-    pub balancer: Ipv4Addr,
-    /// Number of times that agents have forwarded the packet.
-    pub hops: u8,
-    /// Whether the balancer does not know the owner of the flow. The owner then notifies it.
-    pub guessed: bool,
-    /// Version of the balancer's routes.
-    pub version: u64,
-}
-
-impl Hop {
-    fn origin(&self) -> Origin {
-        Origin {
-            balancer: self.balancer,
-            hops: self.hops,
-        }
-    }
-}
-
-/// Path of a packet up to this agent, as far as it is needed to forward the packet.
-#[derive(Debug, Clone, Copy)]
-struct Origin {
-    balancer: Ipv4Addr,
-    hops: u8,
-}
-
-impl Origin {
-    /// Effect that forwards the packet to another agent.
-    fn forward(self, to: Ipv4Addr) -> Effect {
-        Effect::Forward {
-            to,
-            hops: self.hops + 1,
-            balancer: self.balancer,
-        }
-    }
-
-    /// Path of the last packet of a flow. The balancer is the unspecified address if it is unknown.
-    fn of(entry: Option<Entry>) -> Self {
-        Self {
-            balancer: entry.and_then(|entry| entry.balancer).unwrap_or(Ipv4Addr::UNSPECIFIED),
-            hops: entry.map_or(0, |entry| entry.hops),
-        }
-    }
-}
-
-/// Notification about flows from one node to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Note {
-    /// To a balancer: the sender holds the flow.
-    Learn(Flow),
-    /// Answer to a query: the sender holds the flow.
-    Claim(Flow),
-    /// Answer to a query: the sender's backend server does not hold the flow.
-    Deny(Flow),
-    /// The sender holds these flows, and the receiver, a home of each, stores pointers to it.
-    Point(Vec<Flow>),
-    /// The receiver's backend server was draining in the last report before the receiver restarted.
-    WasDraining,
-    /// The receiver's backend server holds these flows, by the pointers that the receiver sent before it restarted.
-    Restore(Vec<Flow>),
-    /// To the balancer that received the SYN of the flow from the client: no backend server accepts the flow.
-    Refuse(Flow),
-}
-
-/// Effect of a decision, which the caller executes. "The packet" is the one that the decision was made on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Effect {
-    /// Delivers the packet to the backend server.
-    Deliver,
-    /// Stores the packet, a SYN, until the backend server has room.
-    Hold {
-        /// Flow.
-        flow: Flow,
-    },
-    /// Delivers a stored SYN to the backend server.
-    Release {
-        /// Flow.
-        flow: Flow,
-    },
-    /// Drops a stored SYN.
-    Discard {
-        /// Flow.
-        flow: Flow,
-    },
-    /// Forwards the packet to another agent.
-    Forward {
-        /// Agent.
-        to: Ipv4Addr,
-        /// Number of times that agents have forwarded the packet, including this time.
-        hops: u8,
-        /// Balancer that received the packet from the client.
-        balancer: Ipv4Addr,
-    },
-    /// Queries another agent whether it holds the flow. The query carries the packet.
-    Query {
-        /// Agent.
-        to: Ipv4Addr,
-        /// Balancer that received the packet from the client.
-        balancer: Ipv4Addr,
-    },
-    /// Sends the packet, which comes from the backend server, to the client.
-    SendToClient {
-        /// Address of the client.
-        client: Ipv4Addr,
-    },
-    /// Records the time that the backend server took to begin the response to a request.
-    RecordLatency(Duration),
-    /// Resets a flow.
-    Reset {
-        /// Flow.
-        flow: Flow,
-        /// Sequence number that the client accepts.
-        seq: u32,
-        /// Evidence for the log.
-        evidence: Evidence,
-    },
-    /// Logs that the client has opened a flow with the local backend server.
-    LogOpened {
-        /// Flow.
-        flow: Flow,
-    },
-    /// Sends a note to another node.
-    SendNote {
-        /// Node.
-        to: Ipv4Addr,
-        /// Note.
-        note: Note,
-    },
-    /// Logs a decision.
-    Log {
-        /// Flow.
-        flow: Flow,
-        /// Decision and its reason.
-        event: &'static str,
-    },
-}
-
 /// State of an agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -395,113 +256,6 @@
         }
     }
 
-    fn handle_syn(&mut self, segment: &Segment, hop: Hop, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        let flow = segment.flow_from_client();
-        if !self.may_serve(flow, hop.version) {
-            // The balancer's routes are older. It learns the newer version from this agent's reports.
-            log(out, flow, "drop: route leads to another service");
-            return;
-        }
-        let known = self.table.get(flow).is_some_and(|entry| entry.state != State::Closed);
-        // A peer that does not know this agent yet could not find the flow.
-        let yields = self.is_unknown_to_peers(members, now) && hop.hops < MAX_HOPS && self.has_open_peer(members, now);
-        let accepts = self.accepts_new_flows(now) && now >= self.backend_full_until && !yields;
-        if self.queue.remove(flow) {
-            out.push(Effect::Discard { flow });
-        }
-        if accepts && !known {
-            match self.offer(segment, hop, now) {
-                admission::Outcome::Admitted => {}
-                admission::Outcome::Queued => {
-                    log(out, flow, "wait: backend server is loaded");
-                    out.push(Effect::Hold { flow });
-                    return;
-                }
-                admission::Outcome::QueueFull => {
-                    log(out, flow, "drop: too many flows wait for the backend server");
-                    return;
-                }
-            }
-        }
-        let balancer = Some(hop.balancer);
-        let accepted = known || (accepts && self.table.insert(flow, State::Opening, hop.hops, balancer, now));
-        if !accepted {
-            self.redirect_syn(segment, hop.origin(), members, now, out);
-            return;
-        }
-        self.searches.record_owner(flow);
-        out.push(Effect::Deliver);
-        if hop.hops > 0 || hop.guessed {
-            send_note(out, hop.balancer, Note::Learn(flow));
-        }
-    }
-
-    /// Offers a new flow to the backend server.
-    fn offer(&mut self, segment: &Segment, hop: Hop, now: Instant) -> admission::Outcome {
-        let flow = segment.flow_from_client();
-        let Some(route) = self.routes.get(flow.service) else {
-            return admission::Outcome::Admitted;
-        };
-        let syn = Syn {
-            flow,
-            goal: route.goal,
-            priority: route.priority,
-            copy: segment.ack,
-            balancer: hop.balancer,
-            hops: hop.hops,
-        };
-        self.queue.offer(syn, self.work(now), now)
-    }
-
-    fn work(&self, now: Instant) -> Work {
-        Work {
-            slots: self.backend.slots,
-            requests: self.table.busy() + self.table.expected_requests(now),
-            service_time: self.table.service_time(),
-        }
-    }
-
-    /// Delivers the queued SYNs for which there is room, and drops expired ones. Drops all if the backend server
-    /// accepts no new flows any more.
-    fn serve_queue(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        if self.queue.is_empty() {
-            return;
-        }
-        let open = self.accepts_new_flows(now);
-        let removed = if open {
-            self.queue.expire(now)
-        } else {
-            self.queue.clear()
-        };
-        out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
-        while open && let Some(syn) = self.queue.next(self.work(now)) {
-            let flow = syn.flow;
-            if self
-                .table
-                .insert(flow, State::Opening, syn.hops, Some(syn.balancer), now)
-            {
-                self.searches.record_owner(flow);
-                out.push(Effect::Release { flow });
-                send_note(out, syn.balancer, Note::Learn(flow));
-            } else {
-                out.push(Effect::Discard { flow });
-            }
-        }
-    }
-
-    /// Whether the backend server accepts new flows. One that has not been detected since this process started may do
-    /// so, unless its address has refused a connection.
-    fn accepts_new_flows(&self, now: Instant) -> bool {
-        let phase = self.backend.phase(now);
-        !self.stopping && (phase == Phase::Ready || self.is_backend_undetected())
-    }
-
-    /// Whether it is unknown if there is a backend server: it has sent no heartbeat to this process, and its address has
-    /// neither accepted nor refused a connection.
-    fn is_backend_undetected(&self) -> bool {
-        !self.backend.has_heartbeat() && self.backend.is_down() && !self.backend.is_absent()
-    }
-
     /// Whether the route of a flow leads to this agent's service. A sender with newer routes, of the given version, is
     /// trusted.
     fn may_serve(&self, flow: Flow, version: u64) -> bool {
@@ -511,194 +265,6 @@
         }
     }
 
-    /// Forwards a SYN to a lightly loaded peer, or notifies the balancer if no backend server accepts it. The balancer alone
-    /// knows how old the SYN is and resets it if the client has sent no copy yet. A copy is not refused, because an agent that
-    /// accepts no new flows any more may have accepted an earlier one.
-    fn redirect_syn(&self, segment: &Segment, from: Origin, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        let flow = segment.flow_from_client();
-        match self.choose_peer(flow, members, now) {
-            Some(to) if from.hops < MAX_HOPS => {
-                log(out, flow, "divert: backend server takes no new flow");
-                out.push(from.forward(to));
-            }
-            None if members.iter().any(|member| member.is_starting(&self.service, now)) => {
-                log(out, flow, "drop: agents are starting");
-            }
-            None if !members.agents(&self.service).all(|member| member.refuses_flows(now)) => {
-                log(out, flow, "drop: agents are silent");
-            }
-            _ if segment.ack > 0 => log(out, flow, "drop: no backend server takes the flow"),
-            _ => {
-                log(out, flow, "refuse: no backend server takes the flow");
-                send_note(out, from.balancer, Note::Refuse(flow));
-            }
-        }
-    }
-
-    /// Chooses a peer for a flow that this agent does not accept.
-    fn choose_peer(&self, flow: Flow, members: &Members, now: Instant) -> Option<Ipv4Addr> {
-        let open = members.iter().filter(|member| member.is_open(&self.service, now));
-        let chosen = placement::choose(
-            flow,
-            open.map(|member| Candidate::from_member(member, &self.data_centre)),
-        );
-        chosen.map(|chosen| chosen.ip)
-    }
-
-    fn handle_established(
-        &mut self,
-        segment: &Segment,
-        hop: Hop,
-        members: &Members,
-        now: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        let flow = segment.flow_from_client();
-        if self.accept_established(flow, segment, hop, now, out) {
-            if hop.guessed || hop.hops > 0 {
-                send_note(out, hop.balancer, Note::Learn(flow));
-            }
-            return;
-        }
-        let pointer_owner = self.pointers.owner(flow);
-        if let Some(owner) = pointer_owner.filter(|owner| *owner != hop.sender && hop.hops < MAX_HOPS)
-            && members.get(owner).is_some_and(|member| !member.is_unreachable(now))
-        {
-            out.push(hop.origin().forward(owner));
-            return;
-        }
-        if self.searches.is_not_found(flow, now) {
-            reset(out, flow, segment.ack, Evidence::DeniedRecently);
-            return;
-        }
-        self.start_search(segment, hop.origin(), members, now, out);
-    }
-
-    /// Delivers a client's packet if it belongs to a flow of the backend server. Returns whether it does.
-    fn accept_established(
-        &mut self,
-        flow: Flow,
-        segment: &Segment,
-        hop: Hop,
-        now: Instant,
-        out: &mut Vec<Effect>,
-    ) -> bool {
-        match self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
-            Match::Unknown => {
-                // The client has opened the flow with another backend server.
-                if self.queue.remove(flow) {
-                    out.push(Effect::Discard { flow });
-                }
-                return false;
-            }
-            Match::Known => {}
-            Match::Opening => out.push(Effect::LogOpened { flow }),
-        }
-        out.push(Effect::Deliver);
-        true
-    }
-
-    /// Starts a search for the owner of a flow by querying all agents of the route's services. It ends at once if there is
-    /// none to query.
-    fn start_search(
-        &mut self,
-        segment: &Segment,
-        from: Origin,
-        members: &Members,
-        now: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        let flow = segment.flow_from_client();
-        let route_services = self.route_services.get(&flow.service);
-        // The route of a flow that is older than this process may have led to any service.
-        let may_hold = |service: &Bytes| {
-            self.coverage.may_miss_older_flows(now)
-                || *service == self.service
-                || route_services.is_some_and(|services| services.contains(service))
-        };
-        let mut queried: BTreeSet<_> = members
-            .iter()
-            .filter(|member| member.report.role == Role::Agent && may_hold(&member.report.service))
-            .map(|member| member.ip)
-            .collect();
-        let probes_local = self.needs_probe() && self.may_serve(flow, self.newest_version);
-        if probes_local {
-            queried.insert(self.ip);
-        }
-        if !self.knows_all_peers(now) {
-            // This search cannot prove that no agent holds the flow. The unspecified address never answers.
-            queried.insert(Ipv4Addr::UNSPECIFIED);
-        }
-        if !self.searches.start(flow, queried.clone(), segment.ack, now) {
-            return;
-        }
-        log(out, flow, "search: owner is not known");
-        if probes_local {
-            self.probe(flow, self.ip, now, out);
-        }
-        let balancer = from.balancer;
-        let peers = queried.into_iter().filter(|ip| *ip != self.ip && !ip.is_unspecified());
-        out.extend(peers.map(|to| Effect::Query { to, balancer }));
-        let progress = self.searches.finish_if_denied_by_all(flow, now);
-        reset_if_not_found(flow, &progress, out);
-    }
-
-    /// Counts peers that have not answered a query as denying the flow, if their reports agree: they hold no flows, or
-    /// they are unreachable and the clients of the flow retry after any failure, and thus gain by an early reset. The
-    /// reports alone may be out of date, or missing due to losses or to a pause of this process.
-    fn deny_for_silent(&mut self, members: &Members, now: Instant, out: &mut Vec<Effect>) {
-        for (flow, silent) in self.searches.unanswered(now) {
-            let route = self.routes.get(flow.service);
-            let retries = route.is_some_and(|route| route.retry == Retry::Always);
-            let is_gone = |member: &Member| member.holds_no_flows(now) || (retries && member.is_unreachable(now));
-            for ip in silent {
-                if members.get(ip).is_some_and(is_gone) {
-                    let progress = self.searches.record_silence(flow, ip, now);
-                    reset_if_not_found(flow, &progress, out);
-                }
-            }
-        }
-    }
-
-    /// Whether a flow that is not in the table may be held by the backend server, so that only a probe can tell.
-    fn needs_probe(&self) -> bool {
-        let ended = self.backend.has_heartbeat() && self.backend.is_down();
-        !self.coverage.is_complete() && !ended && !self.backend.is_absent()
-    }
-
-    fn probe(&mut self, flow: Flow, requester: Ipv4Addr, now: Instant, out: &mut Vec<Effect>) {
-        if self.probes.request(flow, requester, now) {
-            out.push(Effect::Deliver);
-        }
-    }
-
-    /// Handles the query of another agent whether this one holds the flow of a packet.
-    pub fn handle_query(&mut self, segment: &Segment, hop: Hop, now: Instant, out: &mut Vec<Effect>) {
-        self.newest_version = self.newest_version.max(hop.version);
-        let flow = segment.flow_from_client();
-        if self.accept_established(flow, segment, hop, now, out) {
-            send_note(out, hop.sender, Note::Claim(flow));
-            send_note(out, hop.balancer, Note::Learn(flow));
-        } else if !self.needs_probe() || self.is_of_other_service(flow) {
-            send_note(out, hop.sender, Note::Deny(flow));
-        } else if self.has_led_here(flow) {
-            self.probe(flow, hop.sender, now, out);
-        }
-    }
-
-    /// Whether the route of a flow leads to this agent's service, or has led there since this process started.
-    fn has_led_here(&self, flow: Flow) -> bool {
-        let services = self.route_services.get(&flow.service);
-        services.is_some_and(|services| services.contains(&self.service))
-    }
-
-    /// Whether the backend server must not get a packet of a flow, because its route leads to other services by the newest
-    /// routes. Agents of all services are queried for flows that may be older than a route.
-    fn is_of_other_service(&self, flow: Flow) -> bool {
-        let knows_routes = self.routes.is_loaded() && self.routes.version >= self.newest_version;
-        knows_routes && !self.has_led_here(flow)
-    }
-
     /// Handles a client's packet that the backend server returned.
     pub fn handle_returned_packet(
         &mut self,
@@ -780,18 +346,6 @@
         }
     }
 
-    /// Answers all queries that waited for a probe: the backend server does not hold the flow.
-    fn deny_probed(&mut self, flow: Flow, requesters: &BTreeSet<Ipv4Addr>, now: Instant, out: &mut Vec<Effect>) {
-        for requester in requesters {
-            if *requester == self.ip {
-                let progress = self.searches.record_denial(flow, self.ip, now);
-                reset_if_not_found(flow, &progress, out);
-            } else {
-                send_note(out, *requester, Note::Deny(flow));
-            }
-        }
-    }
-
     /// Handles a note of another node.
     pub fn handle_note(&mut self, sender: Ipv4Addr, note: Note, now: Instant, out: &mut Vec<Effect>) {
         match note {
@@ -916,21 +470,3 @@
         }
     }
 }
-
-fn reset_if_not_found(flow: Flow, progress: &Progress, out: &mut Vec<Effect>) {
-    if let Progress::NotFound { client_ack, denials } = *progress {
-        reset(out, flow, client_ack, Evidence::DeniedByAll(denials));
-    }
-}
-
-fn reset(out: &mut Vec<Effect>, flow: Flow, seq: u32, evidence: Evidence) {
-    out.push(Effect::Reset { flow, seq, evidence });
-}
-
-fn send_note(out: &mut Vec<Effect>, to: Ipv4Addr, note: Note) {
-    out.push(Effect::SendNote { to, note });
-}
-
-fn log(out: &mut Vec<Effect>, flow: Flow, event: &'static str) {
-    out.push(Effect::Log { flow, event });
-}
