--- a/crates/dogwoodpitch/src/state/steering/route.rs
+++ b/crates/dogwoodpitch/src/state/steering/route.rs
@@ -60,13 +60,22 @@
     }
 }
 
+/// Properties that the backend servers of a service share.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Service {
+    /// Requests a second that a backend server bears while it is warming up; `None` if there is no limit.
+    pub cold_rate: Option<f64>,
+}
+
 /// Routes of one version of the configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Table {
     /// Version of the configuration; 0 before the first one is loaded.
     pub version: u64,
     /// Routes by the address that clients send to.
     pub routes: HashMap<SocketAddrV4, Route>,
+    /// Properties of the services, by name. A service that the configuration does not describe has the default ones.
+    pub services: HashMap<Bytes, Service>,
     /// Why further routes of the configuration could not be decoded. Their addresses are not known.
     pub rejected: Vec<String>,
 }
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -119,7 +119,7 @@
     Rc::new(Table {
         version,
         routes,
-        rejected: Vec::new(),
+        ..Table::default()
     })
 }
 
