--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -51,6 +51,8 @@
 const PULL_LIMIT: Duration = Duration::from_secs(1);
 /// Time for which an agent with an older configuration waits for a peer in its data centre to pull the newer one from.
 const REMOTE_PULL_DELAY: Duration = Duration::from_millis(300);
+/// Maximum number of rejected routes, and of replaced values, of a version that are logged.
+const MAX_LOGGED_PROBLEMS: usize = 64;
 /// Timeout of a pull from a peer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -209,6 +211,7 @@
     let table = match (node.platform.decode_routes)(document) {
         Ok(table) => table,
         Err(error) => {
+            metrics::counter!("dogwoodpitch_malformed_total").increment(1);
             log::error!(event = "config.invalid", source, error; "invalid configuration ignored; the one in force stays");
             return;
         }
@@ -221,9 +224,7 @@
         event = "config.applied", source, version = table.version, before = known, routes = table.routes.len();
         "configuration in force"
     );
-    for reason in &table.rejected {
-        node.reject_entry(reason);
-    }
+    tell_problems(&table);
     let table = Rc::new(table);
     node.config.outdated_since.set(None);
     node.config.routes.replace(Rc::clone(&table));
@@ -237,6 +238,24 @@
     node.send_report_to(|member| local_role == Role::Balancer || member.report.role == Role::Balancer);
 }
 
+/// Logs and counts what of a new version is not served, or not served as it was written.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a configuration has far fewer than 2^52 entries"
+)]
+fn tell_problems(table: &Table) {
+    metrics::gauge!("dogwoodpitch_routes_rejected").set(table.rejected.len() as f64);
+    metrics::gauge!("dogwoodpitch_config_values_replaced").set(table.notices.len() as f64);
+    metrics::counter!("dogwoodpitch_malformed_total").increment(table.rejected.len() as u64);
+    let version = table.version;
+    for reason in table.rejected.iter().take(MAX_LOGGED_PROBLEMS) {
+        log::error!(event = "config.route_rejected", version, reason; "route left out; its clients are not served");
+    }
+    for reason in table.notices.iter().take(MAX_LOGGED_PROBLEMS) {
+        log::warn!(event = "config.value_replaced", version, reason; "value cannot be read; another one is used");
+    }
+}
+
 /// Handles the version in a report of a peer, and the confirmation of it.
 pub(super) fn handle_reported_version(
     node: &Rc<Node>,
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -424,12 +424,13 @@
     let calls = TcpListener::bind(SocketAddrV4::new(node.settings.ip, node.settings.port))?;
     let readiness = Rc::clone(node);
     monoio::spawn(http::serve(ready, http::IDLE_TIMEOUT, move |_peer, _request| {
-        let status = if readiness.is_ready() {
-            StatusCode::OK
+        // A node that serves the other routes stays in rotation.
+        let (status, body) = if readiness.is_ready() {
+            (StatusCode::OK, readiness.routes().problems())
         } else {
-            StatusCode::SERVICE_UNAVAILABLE
+            (StatusCode::SERVICE_UNAVAILABLE, String::new())
         };
-        async move { http::response(status, "text/plain", "") }
+        async move { http::response(status, "text/plain", body) }
     }));
     match TcpListener::bind(node.settings.metrics()) {
         Ok(metrics) => {
--- a/crates/dogwoodpitch/src/state/steering/route.rs
+++ b/crates/dogwoodpitch/src/state/steering/route.rs
@@ -78,6 +78,8 @@
     pub services: HashMap<Bytes, Service>,
     /// Why further routes of the configuration could not be decoded. Their addresses are not known.
     pub rejected: Vec<String>,
+    /// Values that could not be read, in entries that are served with another value in their place.
+    pub notices: Vec<String>,
 }
 
 impl Table {
@@ -86,6 +88,21 @@
         self.routes.get(&address)
     }
 
+    /// What an operator must know about this version; empty if all of it is served as it was written.
+    pub fn problems(&self) -> String {
+        let told =
+            |count: usize, text: &str| (count > 0).then(|| format!("version {}: {count} {text}\n", self.version));
+        let rejected = told(
+            self.rejected.len(),
+            "routes rejected, see config.route_rejected in the log",
+        );
+        let notices = told(
+            self.notices.len(),
+            "values replaced, see config.value_replaced in the log",
+        );
+        rejected.into_iter().chain(notices).collect()
+    }
+
     /// Whether a configuration has been loaded.
     pub fn is_loaded(&self) -> bool {
         self.version > 0
