--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -42,7 +42,6 @@
 
 /// Settings of the backend server beside an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Backend {
     /// Service of the backend server.
     pub service: Bytes,
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -104,7 +104,7 @@
 
     fn set_report(&mut self, report: Report, now: Instant) {
         self.restarting_until = restarting_until(&report, now);
-        if report.stance != Stance::Restarting {
+        if !matches!(report.stance, Stance::Restarting | Stance::Unknown) {
             self.backend_draining = report.stance == Stance::Draining;
         }
         self.report = report;
@@ -156,7 +156,7 @@
 
     /// Whether the node is known to accept no new flow. The last report of a silent one may be out of date.
     pub fn refuses_flows(&self, now: Instant) -> bool {
-        let open = matches!(self.report.stance, Stance::Open | Stance::Joining);
+        let open = matches!(self.report.stance, Stance::Open | Stance::Joining | Stance::Unknown);
         self.report.stance == Stance::Leaving || (self.is_alive(now) && !open)
     }
 
@@ -174,9 +174,9 @@
     }
 }
 
-/// Until when a node may be restarting, if it reports a restart.
+/// Until when a node may be restarting, if it reports a restart or a stance that may be one.
 fn restarting_until(report: &Report, now: Instant) -> Option<Instant> {
-    (report.stance == Stance::Restarting).then(|| now + RESTART_TIMEOUT)
+    matches!(report.stance, Stance::Restarting | Stance::Unknown).then(|| now + RESTART_TIMEOUT)
 }
 
 impl Members {
--- a/crates/dogwoodpitch/src/state/steering/report.rs
+++ b/crates/dogwoodpitch/src/state/steering/report.rs
@@ -18,6 +18,10 @@
     Restarting,
     /// The node and its backend server are shutting down.
     Leaving,
+    /// A stance that a newer build has added. The node gets no new flow, but it may take some, and its flows are waited for
+    /// as during a restart.
+    #[serde(other)]
+    Unknown,
 }
 
 /// State of a node, as it reports it to its peers. It is encoded without field names, because each agent sends it to
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -183,6 +183,54 @@
     assert_eq!(steer::decode(&bytes).unwrap(), Message::Report(without_age));
 }
 
+/// A report with a stance that a newer build has added was lost, and its sender taken for unreachable, which resets flows of
+/// its backend server. Other messages that are not known must not be taken for one that is.
+#[test]
+fn messages_of_newer_builds_decode_as_far_as_they_are_known() {
+    let encode = |value: &Value| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(value, &mut bytes).unwrap();
+        bytes
+    };
+    let known = |change: fn(&mut Vec<Value>)| {
+        let mut fields = Value::serialized(&report()).unwrap();
+        change(fields.as_array_mut().unwrap());
+        let message = Value::Map(vec![(Value::Text("Report".to_owned()), fields.clone())]);
+        let node = Value::Array(vec![Value::serialized(&Ipv4Addr::LOCALHOST).unwrap(), fields]);
+        (steer::decode(&encode(&message)).ok(), steer::decode_node(&node).ok())
+    };
+    let expected = |report: Report| {
+        (
+            Some(Message::Report(report.clone())),
+            Some((Ipv4Addr::LOCALHOST, report)),
+        )
+    };
+    assert_eq!(known(|fields| fields.push(Value::Bool(true))), expected(report()));
+    let unknown = Report {
+        stance: Stance::Unknown,
+        ..report()
+    };
+    assert_eq!(
+        known(|fields| fields[5] = Value::Text("Warming".to_owned())),
+        expected(unknown)
+    );
+    assert_eq!(
+        known(|fields| fields[0] = Value::Text("observer".to_owned())),
+        (None, None)
+    );
+    let flow = Value::Null;
+    for note in ["Handover", "Evacuate"].map(|name| Value::Map(vec![(Value::Text(name.to_owned()), flow.clone())])) {
+        assert!(steer::decode(&encode(&note)).is_err(), "{note:?}");
+        let note = Value::Map(vec![(Value::Text("Note".to_owned()), note)]);
+        assert!(steer::decode(&encode(&note)).is_err(), "{note:?}");
+    }
+    let mut frame = steer::Header::message(7).encode();
+    frame[3] = 0xfe;
+    assert_eq!(steer::Header::decode(&frame).unwrap().0, steer::Header::message(7));
+    frame[1] = 4;
+    assert_eq!(steer::Header::decode(&frame), None);
+}
+
 /// One odd entry in a peer's list must not hide the others. Processes of before send the same bytes.
 #[test]
 fn an_odd_node_in_a_list_leaves_the_others() {
