--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -1,10 +1,11 @@
 //! Operators' command line of dogwoodpitch.
 
+mod check;
 mod command;
 mod explain;
 mod fleet;
 
-use std::{ffi::OsString, net::SocketAddr, process::ExitCode, str::FromStr};
+use std::{ffi::OsString, net::SocketAddr, process::ExitCode, str::FromStr, time::Duration};
 
 use dogwoodpitch::{
     coordination::{change, store::Store},
@@ -34,6 +35,9 @@
                                          a node that does not answer twice in a row counts as unreachable and is listed
   explain CLIENT FILE...                 joins the lines of log files that name a client's IP:PORT, in the order of time;
                                          needs no store
+  config check FILE [--against FILE | --store URL] [--flow-life-s S]
+                                         checks a configuration of the users' platform, and tells how it differs from
+                                         that in a file or in the platform's store; a flow lives for S seconds at most
 
 Options:
   --store URL            address of the store, as http://IP:PORT or IP:PORT; several are separated by commas
@@ -43,7 +47,7 @@
   --help, --version      prints this text, or the version
 
 Exit codes: 0 ok, 2 usage or invalid value, 3 conflict, 4 store unavailable or outcome unknown, 5 wait timed out,
-6 not found
+6 not found. `config check`: 0 clean, 1 findings, 2 cannot be read
 ";
 
 /// A command that failed.
@@ -141,13 +145,13 @@
     }
     let json = args.contains("--json");
     match start(args) {
-        Ok(output) => {
+        Ok((output, code)) => {
             if json {
                 println!("{}", output.json);
             } else {
                 print!("{}", output.text);
             }
-            ExitCode::SUCCESS
+            ExitCode::from(code)
         }
         Err(error) => {
             error.print(json);
@@ -156,12 +160,15 @@
     }
 }
 
-fn start(mut args: Arguments) -> Result<Output, Error> {
+/// Runs a command. Returns the exit code of a command that has succeeded as well.
+fn start(mut args: Arguments) -> Result<(Output, u8), Error> {
     let store = option(&mut args, "--store", stores)?;
     let expect = option(&mut args, "--expect-revision", number)?;
     let address = option(&mut args, "--address", command::address)?;
     let revision = option(&mut args, "--revision", number)?;
     let timeout_s = option(&mut args, "--timeout-s", number::<u32>)?;
+    let against = option(&mut args, "--against", |name| Ok(name.to_owned()))?;
+    let flow_life_s = option(&mut args, "--flow-life-s", number::<u32>)?;
     let words = words(args.finish())?;
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     if address.is_some() && !words.starts_with(&["service", "apply"]) {
@@ -173,7 +180,17 @@
     if let ["explain", id, ref files @ ..] = words[..]
         && !files.is_empty()
     {
-        return explain::explain(id, files);
+        return explain::explain(id, files).map(|output| (output, 0));
+    }
+    if let ["config", "check", file] = words[..] {
+        let store = store.and_then(|stores| stores.first().copied());
+        let against = against.map(check::Against::File);
+        let against = against.or(store.map(check::Against::Store));
+        let flow_life = flow_life_s.map(|seconds| Duration::from_secs(seconds.into()));
+        return check::check(file, against, flow_life);
+    }
+    if against.is_some() || flow_life_s.is_some() {
+        return Err(Error::usage("--against and --flow-life-s belong to `config check`"));
     }
     let store = store.ok_or_else(|| Error::usage("--store URL is missing; see --help"))?;
     let writes = matches!(
@@ -184,7 +201,7 @@
         return Err(Error::usage("--expect-revision belongs to commands that write"));
     }
     let mut runtime = runtime::open().map_err(|error| Error::usage(format!("cannot start the runtime: {error}")))?;
-    runtime.block_on(async {
+    let output = runtime.block_on(async {
         let context = Context {
             store: Store::open(store),
             expect,
@@ -217,7 +234,8 @@
                 words.join(" ")
             ))),
         }
-    })
+    });
+    output.map(|output| (output, 0))
 }
 
 fn option<T>(
--- a/crates/dogwoodpitchctl/tests/cli.rs
+++ b/crates/dogwoodpitchctl/tests/cli.rs
@@ -6,13 +6,15 @@
 use std::{
     cell::Cell,
     collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
     process::{Child, Command, Output, Stdio},
     rc::Rc,
     sync::mpsc,
     thread,
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use dogwoodpitch::{
     coordination::{config::Replica, status},
     protocol::store::{NODE_PREFIX, Put},
@@ -312,3 +314,59 @@
     assert!(lines[1].starts_with("12.500 agent-1 flow.decided"), "{text}");
     assert!(lines[1].contains("decision=\"reset\""), "{text}");
 }
+
+/// Guards against a script that sends a configuration with findings, and against a check that compares with nothing.
+#[test]
+fn config_check_tells_findings_by_its_exit_code() {
+    let document = |version: u32, port: u32| {
+        json!({ "version": version, "services": [{ "name": "a" }], "routes": [{ "name": "r", "host": "198.18.0.1",
+            "prefix": format!("/{port}/"), "kind": "safe", "timeout_ms": 2_500, "service": "a" }] })
+    };
+    let folder = tempfile::tempdir().unwrap();
+    let write = |name: &str, text: String| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let check = |args: &[&str]| {
+        let command = Command::new(env!("CARGO_BIN_EXE_dogwoodpitchctl"))
+            .args(["--json", "config", "check"])
+            .args(args)
+            .output();
+        finish(&command.unwrap())
+    };
+    let old = write("old", document(6, 443).to_string());
+    let new = write("new", document(7, 444).to_string());
+    let odd = write("odd", document(8, 70_000).to_string());
+    assert_eq!(check(&[&new]).0, 0);
+    let (code, summary) = check(&[&new, "--against", &old]);
+    assert_eq!((code, summary["differences"].as_array().unwrap().len()), (0, 2));
+    let (code, summary) = check(&[&odd, "--flow-life-s", "2"]);
+    assert_eq!((code, &summary["findings"][0]["kind"]), (1, &json!("rejected")));
+    assert_eq!(check(&[&old, "--against", &new]).0, 1);
+    let broken = write("broken", "{".to_owned());
+    for args in [
+        &[&broken[..]][..],
+        &["absent"],
+        &[&new, "--against", &broken],
+        &[&new, "--store", "127.0.0.1:1"],
+    ] {
+        assert_eq!(check(args).0, 2, "{args:?}");
+    }
+    let store = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = store.local_addr().unwrap().to_string();
+    let value = STANDARD.encode(document(6, 443).to_string());
+    let answer = json!({ "key": "op/config", "value": value, "rev": 3, "lease": 0, "current_rev": 3 }).to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = store.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
+        let _ = stream.write_all((head + &answer).as_bytes());
+    });
+    let (code, summary) = check(&[&new, "--store", &address]);
+    assert_eq!(
+        (code, summary["differences"].as_array().map(Vec::len)),
+        (0, Some(2)),
+        "{summary}"
+    );
+}
