config: a gauge for a document that cannot be read; check of the version in force

Cause: a version that nodes cannot read at all was told by a log line only, and no command showed which routes in force are left out. Result: test `cli` of dogwoodpitchctl passes, with the store read over TCP.

--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -208,7 +208,9 @@
 
 /// Applies a configuration if it is newer than the one in force.
 fn apply(node: &Rc<Node>, document: &Bytes, source: &'static str) {
-    let table = match (node.platform.decode_routes)(document) {
+    let result = (node.platform.decode_routes)(document);
+    metrics::gauge!("dogwoodpitch_config_invalid").set(if result.is_ok() { 0.0 } else { 1.0 });
+    let table = match result {
         Ok(table) => table,
         Err(error) => {
             metrics::counter!("dogwoodpitch_malformed_total").increment(1);
--- a/crates/dogwoodpitchctl/src/check.rs
+++ b/crates/dogwoodpitchctl/src/check.rs
@@ -26,7 +26,12 @@
     Store(SocketAddr),
 }
 
-/// Checks the configuration in a file. Returns the exit code as well: 1 if there are findings.
+/// Checks the version in force. Returns the exit code as well: 1 if there are findings.
+pub(crate) fn check_in_force(store: SocketAddr, flow_life: Option<Duration>) -> Result<(Output, u8), Error> {
+    finish(&store.to_string(), &read_store(store)?, None, flow_life)
+}
+
+/// Checks the configuration in a file, like [`check_in_force`].
 pub(crate) fn check(file: &str, against: Option<Against>, flow_life: Option<Duration>) -> Result<(Output, u8), Error> {
     let document = read_file(file)?;
     let in_force = match against {
@@ -34,8 +39,17 @@
         Some(Against::Store(address)) => Some(read_store(address)?),
         None => None,
     };
-    let summary = check::check(&document, in_force.as_deref(), flow_life);
-    let summary = summary.map_err(|error| Error::usage(format!("{file}: {error}")))?;
+    finish(file, &document, in_force.as_deref(), flow_life)
+}
+
+fn finish(
+    source: &str,
+    document: &[u8],
+    in_force: Option<&[u8]>,
+    flow_life: Option<Duration>,
+) -> Result<(Output, u8), Error> {
+    let summary = check::check(document, in_force, flow_life);
+    let summary = summary.map_err(|error| Error::usage(format!("{source}: {error}")))?;
     let output = Output {
         json: json!(summary),
         text: print(&summary),
--- a/crates/dogwoodpitchctl/src/main.rs
+++ b/crates/dogwoodpitchctl/src/main.rs
@@ -37,7 +37,8 @@
                                          needs no store
   config check FILE [--against FILE | --store URL] [--flow-life-s S]
                                          checks a configuration of the users' platform, and tells how it differs from
-                                         that in a file or in the platform's store; a flow lives for S seconds at most
+                                         that in a file or in the platform's store; a flow lives for S seconds at most;
+                                         without FILE, checks that in the platform's store
 
 Options:
   --store URL            address of the store, as http://IP:PORT or IP:PORT; several are separated by commas
@@ -182,12 +183,15 @@
     {
         return explain::explain(id, files).map(|output| (output, 0));
     }
-    if let ["config", "check", file] = words[..] {
-        let store = store.and_then(|stores| stores.first().copied());
-        let against = against.map(check::Against::File);
-        let against = against.or(store.map(check::Against::Store));
-        let flow_life = flow_life_s.map(|seconds| Duration::from_secs(seconds.into()));
-        return check::check(file, against, flow_life);
+    let in_store = store.as_deref().and_then(|stores| stores.first().copied());
+    let flow_life = flow_life_s.map(|seconds| Duration::from_secs(seconds.into()));
+    match (&words[..], in_store) {
+        (["config", "check", file], _) => {
+            let against = against.map(check::Against::File);
+            return check::check(file, against.or(in_store.map(check::Against::Store)), flow_life);
+        }
+        (["config", "check"], Some(store)) if against.is_none() => return check::check_in_force(store, flow_life),
+        _ => {}
     }
     if against.is_some() || flow_life_s.is_some() {
         return Err(Error::usage("--against and --flow-life-s belong to `config check`"));
--- a/crates/dogwoodpitchctl/tests/cli.rs
+++ b/crates/dogwoodpitchctl/tests/cli.rs
@@ -358,10 +358,12 @@
     let value = STANDARD.encode(document(6, 443).to_string());
     let answer = json!({ "key": "op/config", "value": value, "rev": 3, "lease": 0, "current_rev": 3 }).to_string();
     thread::spawn(move || {
-        let (mut stream, _) = store.accept().unwrap();
-        let _ = stream.read(&mut [0; 4_096]);
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
-        let _ = stream.write_all((head + &answer).as_bytes());
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{answer}", answer.len());
+        for stream in store.incoming().take(2) {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4_096]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
     });
     let (code, summary) = check(&[&new, "--store", &address]);
     assert_eq!(
