agent: limit the requests of a backend server that is warming up

Cause: a cold backend server bears `cold_per_s` requests a second, but got as many as half of its slots took. No node counted them over all balancers.

Change: the agent beside it keeps a limit over any span of a second (warm_up.rs). A SYN above it goes to a warm open peer, or once to a cold one; else it waits if there is room within the goal, and is refused otherwise. Requests on open flows count and pass. After a start of the agent, the backend server counts as cold and the last second as used up. Balancers place on a cold one by rate x service time, at most half of its slots. Without a rate nothing changes.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -215,6 +215,7 @@
             }
             Effect::SendNote { to, note } => node.send_message(*to, &Message::Note(note.clone())),
             Effect::LogOpened { flow } => log_opened(node, flow),
+            Effect::LogColdRate(rate) => log_cold_rate(*rate),
             Effect::Log { flow, event } => log_decision(node, flow, event),
         }
     }
@@ -234,6 +235,17 @@
     );
 }
 
+fn log_cold_rate(rate: Option<f64>) {
+    metrics::gauge!("dogwoodpitch_cold_limit").set(rate.unwrap_or(0.0));
+    match rate {
+        Some(rate) => log::info!(
+            event = "backend.cold", rate;
+            "backend server is or may be warming up, and its requests a second are limited"
+        ),
+        None => log::info!(event = "backend.warm"; "backend server is warm, and its requests are not limited"),
+    }
+}
+
 fn log_reset(flow: &Flow, evidence: &Evidence) {
     metrics::counter!("dogwoodpitch_resets_total").increment(1);
     let decision = evidence.decision();
--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -115,6 +115,11 @@
         if syn.has_room(work) {
             return Outcome::Admitted;
         }
+        self.hold(syn, now)
+    }
+
+    /// Adds a SYN, whose flow must not be in the queue.
+    pub fn hold(&mut self, syn: Syn, now: Instant) -> Outcome {
         if self.syns.len() >= MAX_QUEUED {
             return Outcome::QueueFull;
         }
@@ -154,6 +159,12 @@
         removed.map(|entry| entry.syn.flow).collect()
     }
 
+    /// Number of SYNs that are served before a new one of the given priority, which is not the last copy.
+    pub fn ahead_of(&self, priority: u8) -> u32 {
+        let ahead = self.syns.iter().filter(|entry| entry.syn.priority <= priority);
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+
     /// Whether the queue is empty.
     pub fn is_empty(&self) -> bool {
         self.syns.is_empty()
--- a/crates/dogwoodpitch/src/state/steering/agent/effect.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/effect.rs
@@ -76,7 +76,7 @@
 }
 
 /// Effect of a decision, which the caller executes. "The packet" is the one that the decision was made on.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
     /// Delivers the packet to the backend server.
     Deliver,
@@ -132,6 +132,8 @@
         /// Flow.
         flow: Flow,
     },
+    /// Logs a change of the limit on the requests of the backend server while it is warming up.
+    LogColdRate(Option<f64>),
     /// Sends a note to another node.
     SendNote {
         /// Node.
--- a/crates/dogwoodpitch/src/state/steering/agent/established.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/established.rs
@@ -59,7 +59,12 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) -> bool {
-        match self.table.record_client_packet(flow, segment, Some(hop.balancer), now) {
+        let further_requests = self.table.further_requests();
+        let matched = self.table.record_client_packet(flow, segment, Some(hop.balancer), now);
+        if self.table.further_requests() > further_requests {
+            self.record_request(now);
+        }
+        match matched {
             Match::Unknown => {
                 // The client has opened the flow with another backend server.
                 if self.queue.remove(flow) {
--- a/crates/dogwoodpitch/src/state/steering/agent/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -3,6 +3,7 @@
 mod effect;
 mod established;
 mod opening;
+mod warming;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -30,6 +31,7 @@
     search::Searches,
     segment::{Flags, Flow, Segment},
     table::{Entry, POINTER_MIN_AGE, State, Table},
+    warm_up::Limit,
 };
 use bytes::Bytes;
 
@@ -70,6 +72,11 @@
     pointers: Pointers,
     searches: Searches,
     queue: Queue,
+    warm_up: Limit,
+    /// From when on a heartbeat tells whether the backend server is warming up.
+    warmth_known_from: Instant,
+    /// Limit on the requests of the backend server at the last tick.
+    last_cold_rate: Option<f64>,
     probes: Probes,
     backend_full_until: Instant,
     pointers_generation: u64,
@@ -108,6 +115,9 @@
             pointers: Pointers::default(),
             searches: Searches::default(),
             queue: Queue::default(),
+            warm_up: Limit::new(now),
+            warmth_known_from: now,
+            last_cold_rate: None,
             probes: Probes::default(),
             backend_full_until: now,
             pointers_generation: 0,
@@ -154,6 +164,7 @@
     /// Records that the store lists no earlier process of this agent.
     pub fn mark_first_process(&mut self) {
         self.coverage.mark_first_process();
+        self.warm_up.mark_first_process();
     }
 
     /// Handles a pause of this process that has just ended and was so long that it has missed reports of its peers. It may
@@ -180,7 +191,7 @@
             slots: self.backend.slots,
             busy: self.table.busy() + self.queue.len(),
             flows: self.table.open_flows(),
-            cold: self.backend.is_cold(now),
+            cold: self.backend.is_cold(now) || self.cold_rate(now).is_some(),
             latency_ms: u32::try_from(self.table.service_time().as_millis()).unwrap_or(u32::MAX),
             failed_percent: self.table.failed_percent(),
         }
@@ -406,6 +417,7 @@
         self.deny_for_silent(members, now, out);
         self.probes.expire(now);
         self.pointers.expire(now);
+        self.log_cold_rate(now, out);
         self.serve_queue(now, out);
         self.place_pointers(members, now, out);
     }
--- a/crates/dogwoodpitch/src/state/steering/agent/opening.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/opening.rs
@@ -9,7 +9,7 @@
         effect::{Effect, Hop, Note, Origin, log, send_note},
     },
     backend::Phase,
-    member::Members,
+    member::{Member, Members},
     placement::{self, Candidate},
     segment::{Flow, Segment},
     table::State,
@@ -37,6 +37,9 @@
         if self.queue.remove(flow) {
             out.push(Effect::Discard { flow });
         }
+        if accepts && !known && self.defer_while_cold(segment, hop, members, now, out) {
+            return;
+        }
         if accepts && !known {
             match self.offer(segment, hop, now) {
                 admission::Outcome::Admitted => {}
@@ -57,6 +60,9 @@
             self.redirect_syn(segment, hop.origin(), members, now, out);
             return;
         }
+        if !known {
+            self.record_request(now);
+        }
         self.searches.record_owner(flow);
         out.push(Effect::Deliver);
         if hop.hops > 0 || hop.guessed {
@@ -66,19 +72,24 @@
 
     /// Offers a new flow to the backend server.
     pub(super) fn offer(&mut self, segment: &Segment, hop: Hop, now: Instant) -> admission::Outcome {
+        match self.queued_syn(segment, hop) {
+            Some(syn) => self.queue.offer(syn, self.work(now), now),
+            None => admission::Outcome::Admitted,
+        }
+    }
+
+    /// SYN for the queue, unless its route is not known.
+    pub(super) fn queued_syn(&self, segment: &Segment, hop: Hop) -> Option<Syn> {
         let flow = segment.flow_from_client();
-        let Some(route) = self.routes.get(flow.service) else {
-            return admission::Outcome::Admitted;
-        };
-        let syn = Syn {
+        let route = self.routes.get(flow.service)?;
+        Some(Syn {
             flow,
             goal: route.goal,
             priority: route.priority,
             copy: segment.ack,
             balancer: hop.balancer,
             hops: hop.hops,
-        };
-        self.queue.offer(syn, self.work(now), now)
+        })
     }
 
     pub(super) fn work(&self, now: Instant) -> Work {
@@ -102,12 +113,16 @@
             self.queue.clear()
         };
         out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
-        while open && let Some(syn) = self.queue.next(self.work(now)) {
+        while open
+            && self.bears_request(now)
+            && let Some(syn) = self.queue.next(self.work(now))
+        {
             let flow = syn.flow;
             if self
                 .table
                 .insert(flow, State::Opening, syn.hops, Some(syn.balancer), now)
             {
+                self.record_request(now);
                 self.searches.record_owner(flow);
                 out.push(Effect::Release { flow });
                 send_note(out, syn.balancer, Note::Learn(flow));
@@ -163,10 +178,22 @@
 
     /// Chooses a peer for a flow that this agent does not accept.
     pub(super) fn choose_peer(&self, flow: Flow, members: &Members, now: Instant) -> Option<Ipv4Addr> {
+        self.choose_open_peer(flow, members, now, |_member| true)
+    }
+
+    /// Chooses one of the open peers that match a predicate.
+    pub(super) fn choose_open_peer(
+        &self,
+        flow: Flow,
+        members: &Members,
+        now: Instant,
+        predicate: impl Fn(&Member) -> bool,
+    ) -> Option<Ipv4Addr> {
         let open = members.iter().filter(|member| member.is_open(&self.service, now));
         let chosen = placement::choose(
             flow,
-            open.map(|member| Candidate::from_member(member, &self.data_centre)),
+            open.filter(|member| predicate(member))
+                .map(|member| Candidate::from_member(member, &self.data_centre, &self.routes)),
         );
         chosen.map(|chosen| chosen.ip)
     }
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -119,7 +119,7 @@
         let mut candidates: Vec<_> = members
             .iter()
             .filter(accepts)
-            .map(|member| Candidate::from_member(member, &self.data_centre))
+            .map(|member| Candidate::from_member(member, &self.data_centre, &self.routes))
             .collect();
         if segment.ack > 0 && candidates.len() > 1 {
             candidates.retain(|candidate| Some(candidate.ip) != previous);
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -25,3 +25,4 @@
 pub mod search;
 pub mod segment;
 pub mod table;
+pub mod warm_up;
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 
-use crate::state::steering::{member::Member, rank, report::Load, segment::Flow};
+use crate::state::steering::{member::Member, rank, report::Load, route::Table, segment::Flow};
 
 /// Expected load of an open flow that is idle, in slots. Clients of the sites' feeds send about one request of 50 ms a
 /// second.
@@ -49,11 +49,13 @@
     pub pending_placements: u32,
     /// Speed relative to the service's other backend servers, at most 1.
     pub speed: f64,
+    /// Requests a second that the backend server bears while it is warming up; `None` if there is no limit.
+    pub cold_rate: Option<f64>,
 }
 
 impl Candidate {
     /// Candidate for an agent, as seen from a node in `data_centre`.
-    pub fn from_member(member: &Member, data_centre: &Bytes) -> Self {
+    pub fn from_member(member: &Member, data_centre: &Bytes, routes: &Table) -> Self {
         Self {
             ip: member.ip,
             local: member.report.data_centre == *data_centre,
@@ -61,6 +63,7 @@
             busy: member.busy,
             pending_placements: member.pending_placements,
             speed: 1.0,
+            cold_rate: routes.cold_rate(&member.report.service),
         }
     }
 
@@ -72,7 +75,18 @@
         } else {
             self.load.slots
         };
-        f64::from(slots) * speed.min(self.speed)
+        (f64::from(slots) * speed.min(self.speed)).min(self.cold_slots())
+    }
+
+    /// Number of slots that a backend server which is warming up can keep busy at its limit, and that of any other is not
+    /// bounded here.
+    fn cold_slots(&self) -> f64 {
+        match self.cold_rate {
+            Some(rate) if self.load.cold && self.load.latency_ms > 0 => {
+                (rate * f64::from(self.load.latency_ms) / 1_000.0).max(MIN_SPEED)
+            }
+            _ => f64::INFINITY,
+        }
     }
 
     /// Load that is queued, in progress or expected, relative to the capacity.
--- a/crates/dogwoodpitch/src/state/steering/route.rs
+++ b/crates/dogwoodpitch/src/state/steering/route.rs
@@ -86,6 +86,11 @@
         self.routes.get(&address)
     }
 
+    /// Requests a second that a backend server of a service bears while it is warming up; `None` if there is no limit.
+    pub fn cold_rate(&self, service: &Bytes) -> Option<f64> {
+        self.services.get(service)?.cold_rate
+    }
+
     /// Whether a configuration has been loaded.
     pub fn is_loaded(&self) -> bool {
         self.version > 0
--- a/crates/dogwoodpitch/src/state/steering/table.rs
+++ b/crates/dogwoodpitch/src/state/steering/table.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    mem,
     net::Ipv4Addr,
     time::{Duration, Instant},
 };
@@ -67,6 +68,8 @@
     pub pointers_due_at: Instant,
     /// Homes that have a pointer to this flow.
     pub homes: [Option<Ipv4Addr>; HOMES],
+    /// Whether this process has delivered the SYN, which stands for the first request of the flow.
+    counts_as_request: bool,
     /// Request in progress.
     request: Option<Request>,
     /// How the client has closed the flow.
@@ -128,6 +131,8 @@
     busy: u32,
     service_ms: f64,
     failed_ratio: f64,
+    /// Number of requests that have begun without a SYN that stands for them.
+    further_requests: u64,
 }
 
 /// Minimum age of a flow for which pointers are sent. Flows of one short request need none.
@@ -154,6 +159,7 @@
             opened_at: now,
             pointers_due_at: now,
             homes: [None; HOMES],
+            counts_as_request: state == State::Opening && balancer.is_some(),
             request: None,
             client_closing: None,
             backend_finished: false,
@@ -220,6 +226,7 @@
         let may_respond = entry.state != State::Closed && !entry.backend_finished;
         if is_new && entry.request.is_none() && may_respond {
             self.busy += 1;
+            self.further_requests += u64::from(!mem::take(&mut entry.counts_as_request));
             entry.request = Some(Request {
                 started_at: now,
                 position: self.busy,
@@ -342,6 +349,11 @@
         self.busy
     }
 
+    /// Number of requests that have begun on flows that were open already.
+    pub fn further_requests(&self) -> u64 {
+        self.further_requests
+    }
+
     /// Number of flows that are not closed.
     pub fn open_flows(&self) -> u32 {
         let open = self.flows.values().filter(|entry| entry.state != State::Closed);
--- a/crates/dogwoodpitch/tests/steering/load.rs
+++ b/crates/dogwoodpitch/tests/steering/load.rs
@@ -125,6 +125,7 @@
                     busy: smoothed[index],
                     pending_placements: placed[balancer][index],
                     speed: 1.0,
+                    cold_rate: None,
                 });
                 placement::choose(flow, candidates).unwrap().ip
             }
@@ -161,6 +162,7 @@
             busy: if failed_percent > 0 { 0.0 } else { 3.0 },
             pending_placements: 0,
             speed: 1.0,
+            cold_rate: None,
         });
         taken += u32::from(placement::choose(flow, candidates).unwrap().ip == Ipv4Addr::new(10, 1, 0, 0));
     }
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -9,6 +9,7 @@
 mod lifetime;
 mod load;
 mod reset;
+mod warm_up;
 
 use std::{
     collections::{BTreeSet, VecDeque},
