agent: do not hold back a backend server that is younger than its agent

Cause: after a loss of power, agents and backend servers start anew, and a list still names the former agents. The first second of each agent was counted as used up by a former process, although none had met this backend server. Change: a lifetime whose flows have all passed this process begins with a free limit.

--- a/crates/dogwoodpitch/src/state/steering/agent/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -224,6 +224,7 @@
             self.close_flows(|entry| entry.opened_at <= ended_until, out);
         } else if self.coverage.handle_first_lifetime(start, now) {
             self.table.remove_where(|entry| entry.state == State::Restored);
+            self.warm_up.mark_first_process();
         }
         outcome
     }
--- a/crates/dogwoodpitch/src/state/steering/warm_up.rs
+++ b/crates/dogwoodpitch/src/state/steering/warm_up.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Records that no earlier process has delivered any request.
+    /// Records that no earlier process has delivered any request to the backend server.
     pub fn mark_first_process(&mut self) {
         self.unknown_until = None;
     }
