evacuation: no new flow reaches an evacuated data centre

Cause: the operators' key op/evacuate/ZONE was not read at all. Change: the watch for op/config takes all keys of the operators; removals reach the product. Agents of an evacuated data centre take no new flow and pass queued SYNs on, balancers place nothing there, reports spread the set and its revision. Conclusion: the rule is enforced beside the backend server, whatever balancers know.

--- a/crates/dogwoodpitch/src/coordination/kv.rs
+++ b/crates/dogwoodpitch/src/coordination/kv.rs
@@ -27,11 +27,22 @@
     pub lease: u64,
 }
 
+/// A key in a reply, also one whose value could not be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Key {
+    /// Key.
+    pub key: Bytes,
+    /// Whether the key exists after the event; false for a removal.
+    pub present: bool,
+}
+
 /// Result of a read or of a watch.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Response {
     /// Entries that were read, or that changed.
     pub entries: Vec<Entry>,
+    /// All keys, in the order of the events of a watch.
+    pub keys: Vec<Key>,
     /// Why further entries could not be decoded.
     pub rejected: Vec<String>,
     /// Revision of the store, from which a watch can continue.
@@ -49,8 +60,6 @@
 
 /// Operations of a store. Each makes one attempt within the given deadline; retries are up to the caller.
 pub struct Store {
-    /// Reads one key; linearizable.
-    pub get: Box<dyn Fn(String, Instant) -> Reply<Response>>,
     /// Reads all keys with a prefix. The result may be seconds old if the flag `stale` is set.
     pub list: Box<dyn Fn(String, bool, Instant) -> Reply<Response>>,
     /// Waits for changes under a prefix after a revision.
--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -128,7 +128,7 @@
 }
 
 /// Reports to all nodes immediately if the advertised state changed.
-fn report_change(node: &Node, before: Life, now: Instant) {
+pub(super) fn report_change(node: &Node, before: Life, now: Instant) {
     let after = node.life(now);
     if before != after {
         log::info!(event = "agent.stance", before:? = before, after:? = after; "advertised state changed");
@@ -204,6 +204,17 @@
                 node.held_syns.borrow_mut().remove(flow);
             }
             Effect::Forward { to, hops, balancer } => send_frame(node, Kind::Packet, *to, *hops, *balancer, packet),
+            Effect::ForwardHeld {
+                flow,
+                to,
+                hops,
+                balancer,
+            } => {
+                let held = node.held_syns.borrow_mut().remove(flow);
+                if let Some(packet) = held {
+                    send_frame(node, Kind::Packet, *to, *hops, *balancer, &packet);
+                }
+            }
             Effect::Query { to, balancer } => send_frame(node, Kind::Query, *to, 0, *balancer, packet),
             Effect::SendToClient { client } => node.send_to_client(*client, packet),
             Effect::RecordLatency(time) => {
--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -1,4 +1,5 @@
-//! Keeps the operators' configuration current: watches the store and pulls from peers that have a newer version.
+//! Keeps the operators' requests current: watches the store for the configuration and evacuations, and pulls a newer version
+//! of the configuration from peers.
 
 use std::{
     cell::{Cell, RefCell},
@@ -16,13 +17,14 @@
     coordination::{
         kv::{self, Response, Watch},
         steering::{
-            agent,
+            agent, evacuation,
             node::{Node, State},
         },
     },
     state::{
         roster::Role,
         steering::{
+            evacuation::Notice,
             freshness::{self, Age, Freshness},
             member::Member,
             route::Table,
@@ -113,9 +115,10 @@
 }
 
 async fn read_and_watch(node: &Rc<Node>, pause: &mut Duration) -> Result<(), crate::coordination::store::Error> {
-    let key = node.platform.config_key;
+    let prefix = node.platform.operator_prefix;
     let store = &node.platform.store;
-    let mut revision = None;
+    // The evacuations as of the revision from which the watch continues.
+    let mut listed: Option<Notice> = None;
     loop {
         let now = Instant::now();
         if !is_watch_needed(node, now) {
@@ -123,27 +126,26 @@
             time::sleep_until(now + PEER_CHECK_INTERVAL).await;
             continue;
         }
-        let Some(after) = revision else {
-            revision = Some(read(node).await?);
+        let Some(evacuations) = &mut listed else {
+            listed = Some(read(node).await?);
             *pause = MIN_PAUSE;
             continue;
         };
         let until = now + WATCH_WAIT;
-        match (store.watch)(key.to_owned(), after, until).await? {
+        match (store.watch)(prefix.to_owned(), evacuations.revision, until).await? {
             Watch::Changes(response) => {
-                revision = Some(after.max(response.revision));
-                apply_entries(node, response, "watch");
+                apply_response(node, evacuations, response, "watch");
                 let confirmed_at = until.min(Instant::now());
                 node.config
                     .update_freshness(|freshness| freshness.confirm(confirmed_at));
             }
-            Watch::Compacted => revision = None,
+            Watch::Compacted => listed = None,
         }
     }
 }
 
-/// Reads the configuration and returns the revision from which a watch can continue.
-async fn read(node: &Rc<Node>) -> Result<u64, crate::coordination::store::Error> {
+/// Reads the configuration and the evacuations, and returns these with the revision from which a watch can continue.
+async fn read(node: &Rc<Node>) -> Result<Notice, crate::coordination::store::Error> {
     let now = Instant::now();
     let deadline = now + READ_TIMEOUT;
     // The other nodes wait for a watcher to find the store as soon as it is back.
@@ -152,12 +154,12 @@
     } else {
         READ_TIMEOUT
     };
-    let get = || (node.platform.store.get)(node.platform.config_key.to_owned(), deadline);
-    let response = kv::read_hedged(get, interval, deadline).await?;
-    let revision = response.revision;
-    apply_entries(node, response, "store");
+    let list = || (node.platform.store.list)(node.platform.operator_prefix.to_owned(), false, deadline);
+    let response = kv::read_hedged(list, interval, deadline).await?;
+    let mut evacuations = Notice::default();
+    apply_response(node, &mut evacuations, response, "store");
     node.config.update_freshness(|freshness| freshness.confirm(now));
-    Ok(revision)
+    Ok(evacuations)
 }
 
 /// Whether a node has to watch the store, because others rely on it or because its peers do not keep it up to date. Calls to
@@ -192,10 +194,21 @@
     freshness::is_watcher(settings.ip, settings.role(), &settings.data_centre, &members, now)
 }
 
-fn apply_entries(node: &Rc<Node>, response: Response, source: &'static str) {
+/// Applies the changes in a response to the evacuations, and then the configuration: who pulls its version from this node has
+/// heard of the evacuations before.
+fn apply_response(node: &Rc<Node>, evacuations: &mut Notice, response: Response, source: &'static str) {
     for reason in &response.rejected {
         node.reject_entry(reason);
     }
+    evacuations.revision = evacuations.revision.max(response.revision);
+    for changed in &response.keys {
+        if let Some(data_centre) = (node.platform.decode_evacuation)(&changed.key)
+            && !evacuations.set(data_centre, changed.present)
+        {
+            node.reject_entry("too many evacuated data centres");
+        }
+    }
+    evacuation::apply(node, evacuations, source);
     let key = node.platform.config_key.as_bytes();
     for entry in response.entries {
         if entry.key == key {
--- /dev/null
+++ b/crates/dogwoodpitch/src/coordination/steering/evacuation.rs
@@ -0,0 +1,52 @@
+//! Puts evacuations in force at this node and tells the peers of a change at once.
+
+use std::{rc::Rc, time::Instant};
+
+use crate::{
+    coordination::steering::{agent, node::Node},
+    state::{
+        roster::Role,
+        steering::evacuation::{Change, Notice},
+    },
+};
+
+/// Applies a notice from the store if it is newer than the one in force.
+pub(super) fn apply(node: &Rc<Node>, notice: &Notice, source: &'static str) {
+    let changes = node.evacuations.borrow_mut().merge(notice);
+    enforce(node, &changes, source);
+}
+
+/// Applies the notice in a report of a peer if it is newer than the one in force.
+pub(super) fn handle_reported(node: &Rc<Node>, notice: &Notice) {
+    let changes = node.evacuations.borrow_mut().merge_reported(notice);
+    enforce(node, &changes, "peer");
+}
+
+fn enforce(node: &Rc<Node>, changes: &[Change], source: &'static str) {
+    if changes.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    let before = node.life(now);
+    let revision = node.evacuations.borrow().revision();
+    for change in changes {
+        let data_centre = String::from_utf8_lossy(&change.data_centre).into_owned();
+        log::info!(
+            event = "evacuation.changed", revision, data_centre = data_centre.as_str(), source, begins = change.begins;
+            "evacuation of a data centre begins or ends"
+        );
+        let evacuated = if change.begins { 1.0 } else { 0.0 };
+        metrics::gauge!("dogwoodpitch_evacuated", "data_centre" => data_centre).set(evacuated);
+    }
+    let evacuations = node.evacuations.borrow();
+    node.members.borrow_mut().set_evacuated(evacuations.data_centres());
+    let evacuated = evacuations.data_centres().contains(&node.settings.data_centre);
+    drop(evacuations);
+    agent::update_agent(node, &[], |agent, members, out| {
+        agent.set_evacuated(evacuated, members, now, out);
+    });
+    agent::report_change(node, before, now);
+    // Nodes that cannot reach the store learn of the change from these reports.
+    let local_role = node.settings.role();
+    node.send_report_to(|member| local_role == Role::Balancer || member.report.role == Role::Balancer);
+}
--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod balancer;
 mod config;
+mod evacuation;
 mod membership;
 mod node;
 mod reload;
@@ -155,8 +156,12 @@
     pub store: kv::Store,
     /// Codec of the packet format.
     pub codec: Codec,
-    /// Store key of the operators' configuration.
+    /// Prefix of the operators' keys in the store.
+    pub operator_prefix: &'static str,
+    /// Store key of the operators' configuration, under that prefix.
     pub config_key: &'static str,
+    /// Returns the data centre that a store key evacuates as long as it exists.
+    pub decode_evacuation: fn(&[u8]) -> Option<Bytes>,
     /// Decodes a configuration into routes. An error says why it is invalid.
     pub decode_routes: fn(&[u8]) -> Result<Table, String>,
     /// Decodes an HTTP call of the backend server. An error says why it is malformed.
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -15,7 +15,9 @@
 use monoio::net::TcpListener;
 
 use crate::{
-    coordination::steering::{Platform, Settings, agent, balancer, config, membership, reload, spawn_critical},
+    coordination::steering::{
+        Platform, Settings, agent, balancer, config, evacuation, membership, reload, spawn_critical,
+    },
     protocol::steer::{self, Header, Kind, Message},
     state::{
         roster::Role,
@@ -24,6 +26,7 @@
             audience::Sender,
             balancer::Balancer,
             discovery,
+            evacuation::Evacuations,
             member::{Change, Member, Members},
             report::{Load, Report, Stance},
             route::Table,
@@ -79,6 +82,7 @@
     pub(super) state: RefCell<State>,
     pub(super) members: RefCell<Members>,
     pub(super) config: config::Config,
+    pub(super) evacuations: RefCell<Evacuations>,
     pub(super) frames: Socket,
     /// Packets of clients at a balancer, of the backend server at an agent.
     pub(super) packets: Socket,
@@ -151,6 +155,7 @@
             state: RefCell::new(state),
             members: RefCell::default(),
             config: config::Config::default(),
+            evacuations: RefCell::default(),
             held_syns: RefCell::default(),
             lease: Cell::new(None),
             unanswered_since: Cell::new(None),
@@ -235,6 +240,7 @@
             vacant: self.is_vacant(),
             greeting,
             confirmed: self.config.freshness().reported_age(now),
+            evacuations: self.evacuations.borrow().report(),
         }
     }
 
@@ -347,6 +353,9 @@
 
     fn handle_report(self: &Rc<Self>, from: Ipv4Addr, report: Report) {
         let now = Instant::now();
+        if let Some(notice) = &report.evacuations {
+            evacuation::handle_reported(self, notice);
+        }
         let (version, confirmed, stance) = (report.version, report.confirmed, report.stance);
         let message = if report.greeting {
             discovery::Message::ReportRequest
--- a/crates/dogwoodpitch/src/protocol/steer.rs
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -117,8 +117,12 @@
     }
 }
 
-/// Encodes an entry of [`Message::Nodes`].
+/// Encodes an entry of [`Message::Nodes`]. Evacuations are left out: the sender's own reports name them.
 pub fn encode_node(ip: Ipv4Addr, report: &Report) -> Value {
+    let report = Report {
+        evacuations: None,
+        ..report.clone()
+    };
     Value::serialized(&(ip, report)).expect("reports have no failing serializers")
 }
 
--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -144,6 +144,11 @@
         self.remove_where(|entry| now >= entry.expires_at)
     }
 
+    /// Removes and returns all SYNs.
+    pub fn take_all(&mut self) -> Vec<Syn> {
+        self.syns.drain(..).map(|entry| entry.syn).collect()
+    }
+
     /// Removes all SYNs and returns their flows.
     pub fn clear(&mut self) -> Vec<Flow> {
         self.remove_where(|_| true)
--- a/crates/dogwoodpitch/src/state/steering/agent/effect.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/effect.rs
@@ -95,6 +95,17 @@
         /// Flow.
         flow: Flow,
     },
+    /// Forwards a stored SYN to another agent.
+    ForwardHeld {
+        /// Flow.
+        flow: Flow,
+        /// Agent.
+        to: Ipv4Addr,
+        /// Number of times that agents have forwarded the SYN, including this time.
+        hops: u8,
+        /// Balancer that received the SYN from the client.
+        balancer: Ipv4Addr,
+    },
     /// Forwards the packet to another agent.
     Forward {
         /// Agent.
--- a/crates/dogwoodpitch/src/state/steering/agent/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod effect;
 mod established;
+mod evacuation;
 mod opening;
 
 use std::{
@@ -57,6 +58,8 @@
     /// From when on the reports of the peers are recent again after a pause of this process.
     reports_recent_at: Instant,
     stopping: bool,
+    /// Whether the data centre of this agent is evacuated.
+    evacuated: bool,
     /// Backend server of the agent.
     pub backend: Backend,
     /// Flows of the backend server.
@@ -100,6 +103,7 @@
             announced: false,
             reports_recent_at: now,
             stopping: false,
+            evacuated: false,
             backend: Backend::new(heartbeat_interval, now),
             table: Table::default(),
             routes: Rc::default(),
@@ -124,6 +128,7 @@
             Phase::Down => Stance::Joining,
             Phase::Draining => Stance::Draining,
             Phase::Ready if now < self.joined_at() => Stance::Joining,
+            Phase::Ready if self.evacuated => Stance::Draining,
             Phase::Ready => Stance::Open,
         }
     }
--- a/crates/dogwoodpitch/src/state/steering/agent/opening.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/opening.rs
@@ -121,7 +121,7 @@
     /// so, unless its address has refused a connection.
     pub(super) fn accepts_new_flows(&self, now: Instant) -> bool {
         let phase = self.backend.phase(now);
-        !self.stopping && (phase == Phase::Ready || self.is_backend_undetected())
+        !self.stopping && !self.evacuated && (phase == Phase::Ready || self.is_backend_undetected())
     }
 
     /// Whether it is unknown if there is a backend server: it has sent no heartbeat to this process, and its address has
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -229,7 +229,7 @@
 /// others yet.
 fn choose_home(flow: Flow, service: &Bytes, members: &Members, now: Instant) -> Option<Ipv4Addr> {
     let fresh = || members.holders(service, now).filter(|member| member.is_alive(now));
-    let settled = fresh().filter(|member| !member.is_joining(service, now));
+    let settled = fresh().filter(|member| !member.is_new());
     let [home, _] = rank::homes(flow, settled.map(|member| member.ip));
     home.or_else(|| rank::homes(flow, fresh().map(|member| member.ip))[0])
 }
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -44,8 +44,11 @@
     unreachable_at: Instant,
     remove_at: Instant,
     restarting_until: Option<Instant>,
-    /// Whether the backend server of an agent was draining by the last report that tells it. That of a restart does not.
+    /// Whether the backend server of an agent was draining by the last report that tells it. That of a restart does not, nor
+    /// that of an evacuated agent.
     backend_draining: bool,
+    /// Whether the data centre of the node is evacuated, by the newest notice known here.
+    evacuated: bool,
 }
 
 /// Change that a report brings.
@@ -68,6 +71,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     nodes: BTreeMap<Ipv4Addr, Member>,
+    evacuated: BTreeSet<Bytes>,
     generation: u64,
 }
 
@@ -77,7 +81,8 @@
             ip,
             busy: report.load.busy.into(),
             restarting_until: restarting_until(&report, now),
-            backend_draining: report.stance == Stance::Draining,
+            backend_draining: report.stance == Stance::Draining && !report.is_evacuated(),
+            evacuated: false,
             report,
             heard: false,
             pending_placements: 0,
@@ -104,7 +109,7 @@
 
     fn set_report(&mut self, report: Report, now: Instant) {
         self.restarting_until = restarting_until(&report, now);
-        if report.stance != Stance::Restarting {
+        if report.stance != Stance::Restarting && !report.is_evacuated() {
             self.backend_draining = report.stance == Stance::Draining;
         }
         self.report = report;
@@ -140,24 +145,29 @@
 
     /// Whether the node is an agent that accepts new flows of a service.
     pub fn is_open(&self, service: &Bytes, now: Instant) -> bool {
-        self.is_agent(service) && self.report.stance == Stance::Open && self.is_alive(now)
+        self.is_agent(service) && self.report.stance == Stance::Open && self.is_alive(now) && !self.evacuated
     }
 
     /// Whether the node is an agent of a service that has reported recently and is not ready for new flows yet.
     pub fn is_joining(&self, service: &Bytes, now: Instant) -> bool {
-        self.is_agent(service) && self.report.stance == Stance::Joining && self.is_alive(now)
+        self.is_agent(service) && self.is_new() && self.is_alive(now) && !self.evacuated
+    }
+
+    /// Whether the node may not know all others yet.
+    pub fn is_new(&self) -> bool {
+        self.report.stance == Stance::Joining
     }
 
     /// Whether the node is an agent that will soon accept new flows of a service, or may do so without having reported
     /// it.
     pub fn is_starting(&self, service: &Bytes, now: Instant) -> bool {
-        self.is_agent(service) && (!self.heard || self.report.stance == Stance::Joining || self.is_restarting(now))
+        self.is_agent(service) && !self.evacuated && (!self.heard || self.is_new() || self.is_restarting(now))
     }
 
     /// Whether the node is known to accept no new flow. The last report of a silent one may be out of date.
     pub fn refuses_flows(&self, now: Instant) -> bool {
         let open = matches!(self.report.stance, Stance::Open | Stance::Joining);
-        self.report.stance == Stance::Leaving || (self.is_alive(now) && !open)
+        self.evacuated || self.report.stance == Stance::Leaving || (self.is_alive(now) && !open)
     }
 
     /// Whether an agent holds no flow by its own report: it is leaving, or it has recently reported that it has no
@@ -186,6 +196,7 @@
             let mut member = Member::new(ip, report, now);
             member.record_contact(now);
             self.nodes.insert(ip, member);
+            self.mark_evacuated(ip);
             self.generation += 1;
             return Change::New { was_draining: false };
         };
@@ -215,9 +226,24 @@
         known.busy += gain * (busy - known.busy);
         known.set_report(report, now);
         known.record_contact(now);
+        self.mark_evacuated(ip);
         change
     }
 
+    /// Replaces the set of evacuated data centres, whose agents accept no new flow whatever they report.
+    pub fn set_evacuated(&mut self, data_centres: &BTreeSet<Bytes>) {
+        self.evacuated.clone_from(data_centres);
+        for member in self.nodes.values_mut() {
+            member.evacuated = data_centres.contains(&member.report.data_centre);
+        }
+    }
+
+    fn mark_evacuated(&mut self, ip: Ipv4Addr) {
+        if let Some(member) = self.nodes.get_mut(&ip) {
+            member.evacuated = self.evacuated.contains(&member.report.data_centre);
+        }
+    }
+
     /// Adds the nodes that the store or a peer lists, and returns the new ones. A listed node is not removed, even if
     /// it does not report.
     pub fn add_listed(&mut self, listed: impl IntoIterator<Item = (Ipv4Addr, Report)>, now: Instant) -> Vec<Ipv4Addr> {
@@ -230,6 +256,7 @@
                 self.nodes.insert(ip, Member::new(ip, report, now));
                 true
             };
+            self.mark_evacuated(ip);
             if is_new {
                 self.generation += 1;
                 added.push(ip);
--- a/crates/dogwoodpitch/src/state/steering/report.rs
+++ b/crates/dogwoodpitch/src/state/steering/report.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{roster::Role, steering::freshness::Age};
+use crate::state::{
+    roster::Role,
+    steering::{evacuation::Notice, freshness::Age},
+};
 
 /// Which flows a node serves, by its own report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,16 +50,24 @@
     pub greeting: bool,
     /// Time since the last moment at which the store is known to have held no newer version.
     pub confirmed: Option<Age>,
+    /// Evacuated data centres, if the node knows of an evacuation, past or present.
+    pub evacuations: Option<Notice>,
 }
 
 impl Report {
+    /// Whether the sender knows that its data centre is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        let evacuations = self.evacuations.as_ref();
+        evacuations.is_some_and(|notice| notice.data_centres.contains(&self.data_centre))
+    }
+
     /// Whether two reports describe the same node, regardless of its process, stance and load.
     pub fn is_same_node(&self, other: &Self) -> bool {
         self.role == other.role && self.data_centre == other.data_centre && self.service == other.service
     }
 }
 
-/// Fields of a [`Report`]. Processes of earlier builds do not send the last one, and ignore it.
+/// Fields of a [`Report`]. Processes of earlier builds do not send the last ones, and ignore them.
 #[derive(Serialize, Deserialize)]
 struct ReportFields(
     Role,
@@ -70,6 +81,7 @@
     bool,
     bool,
     #[serde(default)] Option<Age>,
+    #[serde(default)] Option<Notice>,
 );
 
 impl From<Report> for ReportFields {
@@ -86,6 +98,7 @@
             report.vacant,
             report.greeting,
             report.confirmed,
+            report.evacuations,
         )
     }
 }
@@ -104,6 +117,7 @@
             vacant: fields.8,
             greeting: fields.9,
             confirmed: fields.10,
+            evacuations: fields.11,
         }
     }
 }
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -175,6 +175,7 @@
         vacant: false,
         greeting: false,
         confirmed: None,
+        evacuations: None,
     }
 }
 
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -364,6 +364,7 @@
             vacant: life.vacant,
             greeting,
             confirmed: None,
+            evacuations: None,
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod build;
 mod cluster;
+mod evacuation;
 mod freshness;
 mod fuzz;
 mod lifetime;
