simulation: evacuate a data centre while faults are injected

Cause: no simulated run emptied a data centre. Change: seeds from 1000000 on evacuate the western data centre for 7 to 12 s; the store, its watchers and the reports carry it, and the oracle counts each SYN at a backend server there from 5 s on. Other seeds draw the same events as before.

--- a/crates/dogwoodpitch/tests/steering/cluster/agent.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/agent.rs
@@ -78,6 +78,20 @@
             (Effect::Forward { to, hops, balancer }, Some(segment)) => {
                 self.send_packet(ip, to, hops, balancer, segment, false);
             }
+            (
+                Effect::ForwardHeld {
+                    flow,
+                    to,
+                    hops,
+                    balancer,
+                },
+                _,
+            ) => {
+                let held = self.nodes.get_mut(&ip).expect("the node runs").held_syns.remove(&flow);
+                if let Some(segment) = held {
+                    self.send_packet(ip, to, hops, balancer, segment, false);
+                }
+            }
             (Effect::Query { to, balancer }, Some(segment)) => self.send_packet(ip, to, 0, balancer, segment, true),
             (Effect::SendToClient { .. }, Some(segment)) => self.send_to_client(segment, None),
             (Effect::Reset { flow, seq, evidence }, _) => {
--- a/crates/dogwoodpitch/tests/steering/cluster/backend.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/backend.rs
@@ -303,6 +303,7 @@
         let flow = segment.flow_from_client();
         let lifetime = backend.lifetime;
         if segment.is_initial_syn() {
+            self.check_evacuation(flow, ip);
             self.handle_syn_at_backend(ip, segment);
             return;
         }
--- a/crates/dogwoodpitch/tests/steering/cluster/message.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/message.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Event, MS, Time, World,
-    node::{Input, Life, MIN_PAUSE, Membership, State, Timer},
+    node::{Input, Life, MIN_PAUSE, Membership, Source, State, Timer},
 };
 
 const RENEW_INTERVAL: Time = 18_000 * MS;
@@ -175,6 +175,10 @@
         } else {
             discovery::Message::Report
         };
+        let changes = report
+            .evacuations
+            .as_ref()
+            .map(|notice| node.evacuations.merge_reported(notice));
         let (version, known) = (report.version, node.version);
         let change = node.members.record_report(from, report, now);
         if let Change::New { was_draining } = change {
@@ -184,9 +188,19 @@
             self.update_agent(ip, None, |agent, _, out| agent.handle_peer_restart(from, out));
         }
         self.reply(ip, from, message, matches!(change, Change::New { .. }));
+        if changes.is_some_and(|changes| !changes.is_empty()) {
+            self.enforce_evacuations(ip);
+        }
         if version > known {
             let delay = self.random.range(2 * MS, 20 * MS);
-            self.timer(ip, delay, Timer::LoadRoutes { ok: true, version });
+            self.timer(
+                ip,
+                delay,
+                Timer::LoadRoutes {
+                    from: Source::Peer,
+                    version,
+                },
+            );
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/cluster/mod.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/mod.rs
@@ -25,7 +25,10 @@
 use bytes::Bytes;
 use dogwoodpitch::state::{
     roster::Role,
-    steering::segment::{Flow, Segment},
+    steering::{
+        evacuation::Notice,
+        segment::{Flow, Segment},
+    },
 };
 
 use self::{
@@ -55,6 +58,9 @@
 /// Time that flows may take to end after the removal of a VM.
 const REMOVAL_TIME: Time = 16_000 * MS;
 
+/// First seed of the runs in which a data centre is evacuated and taken back.
+const FIRST_EVACUATION_SEED: u64 = 1_000_000;
+
 /// Violations of one kind that are printed.
 const MAX_EXAMPLES: u64 = 3;
 
@@ -85,6 +91,7 @@
     Rotate(Ipv4Addr, u64),
     Unrotate(Ipv4Addr),
     Fault(Fault),
+    Evacuate(bool),
     AddVm(Ipv4Addr),
     StartNode(Ipv4Addr),
     StopNode(Ipv4Addr),
@@ -119,6 +126,10 @@
     random: Random,
     network: Network,
     store: Store,
+    /// Evacuations in the store.
+    evacuations: Notice,
+    /// When the evacuation in force has begun.
+    evacuated_at: Option<Time>,
     vms: BTreeMap<Ipv4Addr, Vm>,
     nodes: BTreeMap<Ipv4Addr, Node>,
     backends: BTreeMap<Ipv4Addr, Backend>,
@@ -155,6 +166,8 @@
             random,
             network,
             store,
+            evacuations: Notice::default(),
+            evacuated_at: None,
             vms: BTreeMap::new(),
             nodes: BTreeMap::new(),
             backends: BTreeMap::new(),
@@ -203,6 +216,12 @@
             self.schedule(delay, Event::OpenFlow(slot));
         }
         self.schedule_faults(seed);
+        if seed >= FIRST_EVACUATION_SEED {
+            let from = self.random.range(4_000 * MS, 9_000 * MS);
+            let until = from + self.random.range(7_000 * MS, 12_000 * MS);
+            self.schedule(from, Event::Evacuate(true));
+            self.schedule(until, Event::Evacuate(false));
+        }
     }
 
     /// Runs the simulation to its end.
@@ -238,6 +257,7 @@
             Event::Rotate(ip, process) => self.rotate(ip, process),
             Event::Unrotate(ip) => self.rotation.retain(|other| *other != ip),
             Event::Fault(fault) => self.apply_fault(fault),
+            Event::Evacuate(begins) => self.evacuate(begins),
             Event::AddVm(ip) => {
                 if !self.vms.contains_key(&ip) {
                     self.add_vm(ip, Role::Agent);
@@ -495,6 +515,12 @@
     check_seeds([152, 376]);
 }
 
+/// No new flow reaches an evacuated data centre, whatever fails meanwhile, and its open flows survive.
+#[test]
+fn no_new_flow_reaches_an_evacuated_data_centre() {
+    check_seeds(FIRST_EVACUATION_SEED..FIRST_EVACUATION_SEED + 14);
+}
+
 /// A seed repeats exactly, so that a violation can be traced.
 #[test]
 fn a_seed_repeats_exactly() {
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -13,6 +13,7 @@
         agent::{Agent, Identity},
         backend::Heartbeat,
         balancer::Balancer,
+        evacuation::Evacuations,
         member::Members,
         report::{Load, Report, Stance},
         route::Table,
@@ -63,14 +64,32 @@
     ListedAgain { ok: bool },
 }
 
+/// Where a node gets the routes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    Store,
+    FailedStore,
+    Peer,
+}
+
 /// Timer of a process.
 #[derive(Debug, Clone)]
 pub(super) enum Timer {
     Tick,
     Check,
-    CheckResult { checked_at: Time, accepted: bool },
+    CheckResult {
+        checked_at: Time,
+        accepted: bool,
+    },
     Membership(Membership),
-    LoadRoutes { ok: bool, version: u64 },
+    LoadRoutes {
+        from: Source,
+        version: u64,
+    },
+    /// A watch of the store replies.
+    Watch {
+        ok: bool,
+    },
     Wake,
 }
 
@@ -102,6 +121,7 @@
     pub(super) state: State,
     pub(super) members: Members,
     pub(super) version: u64,
+    pub(super) evacuations: Evacuations,
     pub(super) reports: u64,
     last_life: Life,
     ticks: u64,
@@ -162,6 +182,7 @@
             state,
             members: Members::default(),
             version: 0,
+            evacuations: Evacuations::default(),
             reports: 0,
             last_life: Life {
                 stance: Stance::Joining,
@@ -262,7 +283,8 @@
             Timer::Check => self.check_backend(ip),
             Timer::CheckResult { checked_at, accepted } => self.handle_check_result(ip, checked_at, accepted),
             Timer::Membership(step) => self.maintain_membership(ip, step),
-            Timer::LoadRoutes { ok, version } => self.load_routes(ip, ok, version),
+            Timer::LoadRoutes { from, version } => self.load_routes(ip, from, version),
+            Timer::Watch { ok } => self.watch(ip, ok),
             Timer::Wake => self.wake(ip),
         }
     }
@@ -364,7 +386,7 @@
             vacant: life.vacant,
             greeting,
             confirmed: None,
-            evacuations: None,
+            evacuations: node.evacuations.report(),
         }
     }
 
@@ -448,19 +470,25 @@
 
     fn read_routes(&mut self, ip: Ipv4Addr) {
         let (time, ok) = self.store.call(&mut self.random, self.now);
-        self.timer(ip, time, Timer::LoadRoutes { ok, version: 1 });
+        let from = if ok { Source::Store } else { Source::FailedStore };
+        self.timer(ip, time, Timer::LoadRoutes { from, version: 1 });
     }
 
-    pub(super) fn load_routes(&mut self, ip: Ipv4Addr, ok: bool, version: u64) {
+    pub(super) fn load_routes(&mut self, ip: Ipv4Addr, from: Source, version: u64) {
         let node = self.nodes.get_mut(&ip).expect("the node runs");
         if node.version >= version {
             return;
         }
-        if !ok {
+        if from == Source::FailedStore {
             let (time, ok) = self.store.call(&mut self.random, self.now);
-            self.timer(ip, MIN_PAUSE + time, Timer::LoadRoutes { ok, version });
+            let from = if ok { Source::Store } else { Source::FailedStore };
+            self.timer(ip, MIN_PAUSE + time, Timer::LoadRoutes { from, version });
             return;
         }
+        if from == Source::Store {
+            self.watch(ip, true);
+        }
+        let node = self.nodes.get_mut(&ip).expect("the node runs");
         node.version = version;
         let routes: Rc<Table> = build::routes(version);
         if let State::Balancer(balancer) = &mut node.state {
@@ -469,6 +497,42 @@
         self.update_agent(ip, None, |agent, _, out| agent.set_routes(routes, out));
     }
 
+    /// Evacuates a data centre, or takes it back. All balancers watch the store.
+    pub(super) fn evacuate(&mut self, begins: bool) {
+        self.evacuations.revision += 1;
+        self.evacuations.set("west".into(), begins);
+        self.evacuated_at = begins.then_some(self.now);
+        self.note(Ipv4Addr::UNSPECIFIED, || format!("evacuation of west, begins {begins}"));
+        for ip in self.balancers() {
+            let (time, ok) = self.store.call(&mut self.random, self.now);
+            self.timer(ip, time, Timer::Watch { ok });
+        }
+    }
+
+    fn watch(&mut self, ip: Ipv4Addr, ok: bool) {
+        if !ok {
+            let (time, ok) = self.store.call(&mut self.random, self.now);
+            self.timer(ip, MIN_PAUSE + time, Timer::Watch { ok });
+            return;
+        }
+        let node = self.nodes.get_mut(&ip).expect("the node runs");
+        if !node.evacuations.merge(&self.evacuations).is_empty() {
+            self.enforce_evacuations(ip);
+        }
+    }
+
+    pub(super) fn enforce_evacuations(&mut self, ip: Ipv4Addr) {
+        let now = self.instant();
+        let node = self.nodes.get_mut(&ip).expect("the node runs");
+        node.members.set_evacuated(node.evacuations.data_centres());
+        let evacuated = node.evacuations.data_centres().contains(&node.data_centre);
+        self.note(ip, || format!("hears of an evacuation; own data centre {evacuated}"));
+        self.update_agent(ip, None, |agent, members, out| {
+            agent.set_evacuated(evacuated, members, now, out);
+        });
+        self.send_report(ip, None);
+    }
+
     /// Whether a balancer answers the readiness check.
     pub(super) fn is_ready(&self, ip: Ipv4Addr) -> bool {
         let now = self.instant();
--- a/crates/dogwoodpitch/tests/steering/cluster/oracle.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/oracle.rs
@@ -22,6 +22,9 @@
 /// The same time if its VM is gone.
 const REMOVED_END_TIME: Time = 12_000 * MS;
 
+/// Time after an evacuation from which no new flow may reach the data centre.
+const EVACUATION_TIME: Time = 5_000 * MS;
+
 /// Reset that a node sends to a client.
 #[derive(Debug, Clone)]
 pub(super) struct Reset {
@@ -199,6 +202,25 @@
         });
     }
 
+    /// Checks that a SYN does not reach the backend server of an evacuated data centre.
+    pub(super) fn check_evacuation(&mut self, flow: Flow, ip: Ipv4Addr) {
+        let now = self.now;
+        let is_late = self.evacuated_at.is_some_and(|at| now >= at + EVACUATION_TIME);
+        let evacuated = |data_centre| self.evacuations.data_centres.contains(data_centre);
+        if !is_late || !self.vms.get(&ip).is_some_and(|vm| evacuated(&vm.data_centre)) {
+            return;
+        }
+        let impairments = self.oracle.impairments(ip, now);
+        self.oracle.violations.push(Violation {
+            kind: format!("SYN after the evacuation; agent {impairments:?}"),
+            impaired: impairments.iter().any(|kind| matches!(*kind, "cut" | "paused")),
+            flow,
+            nodes: vec![ip],
+            at: now,
+            text: format!("SYN at {ip}, evacuated at {:?} ms", self.evacuated_at.map(|at| at / MS)),
+        });
+    }
+
     /// Checks after a time without faults that no request of a flow waits for a backend server that is gone.
     pub(super) fn check_hanging_flows(&mut self) {
         let now = self.now;
