--- a/crates/dogwoodpitchctl/tests/cli.rs
+++ b/crates/dogwoodpitchctl/tests/cli.rs
@@ -356,7 +356,11 @@
     let store = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = store.local_addr().unwrap().to_string();
     let value = STANDARD.encode(document(6, 443).to_string());
-    let answer = json!({ "key": "op/config", "value": value, "rev": 3, "lease": 0, "current_rev": 3 }).to_string();
+    let items = json!([
+        { "key": "op/config", "value": value, "rev": 3, "lease": 0 },
+        { "key": "op/config-draft", "value": "e30=", "rev": 4, "lease": 0 },
+    ]);
+    let answer = json!({ "items": items, "has_more": false, "current_rev": 4 }).to_string();
     thread::spawn(move || {
         let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{answer}", answer.len());
         for stream in store.incoming().take(2) {
