steering: plan which share of the new flows leaves a data centre

Cause: each SYN samples a remote backend server with a fixed penalty, so flows leave at even load too, and a data centre that is too small for a peak sends no more than that sample. Change: a balancer sums the reported loads by data centre each 200 ms and plans the share that pays, by levelling the marginal cost; the hash of a flow decides. Modes penalty, never, least-loaded and adaptive are selectable; the default stays penalty with the same choice, by a selection instead of two sorts. Deployments that have to bear the loss of a data centre get adaptive.

--- a/crates/dogwoodpitch/src/coordination/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/balancer.rs
@@ -3,13 +3,17 @@
 use std::{io, net::Ipv4Addr, rc::Rc, time::Instant};
 
 use crate::{
-    coordination::steering::node::{Node, State, millis, reject},
+    coordination::steering::{
+        node::{Node, State, millis, reject},
+        overflow,
+    },
     protocol::steer::{Header, Kind},
     state::steering::{agent::Note, balancer::Decision, segment::Flow},
 };
 
 /// Receives client packets and acts on the balancer's decision for each.
 pub(super) async fn receive(node: Rc<Node>) -> io::Result<()> {
+    monoio::spawn(overflow::run(Rc::clone(&node)));
     loop {
         node.packets
             .recv(|from, packet| forward(&node, *from.ip(), packet))
--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod membership;
 mod node;
+mod overflow;
 mod reload;
 
 use std::{
@@ -25,7 +26,7 @@
     protocol::{settings::Check, steer::Codec},
     state::{
         roster::Role,
-        steering::{backend::Heartbeat, route::Table},
+        steering::{backend::Heartbeat, overflow::Mode, route::Table},
     },
 };
 
@@ -78,6 +79,12 @@
     pub memory_mb: u32,
     /// Time in seconds between a stop request of the platform and its kill of the process.
     pub stop_timeout_s: f64,
+    /// Whether new flows leave the data centre. If it is not set, the deployment's requirement decides.
+    #[serde(default)]
+    pub overflow: Option<Mode>,
+    /// Number of data centres whose loss the deployment has to bear.
+    #[serde(default)]
+    pub tolerated_data_centre_losses: u32,
     /// Backend server of an agent; `None` for a balancer.
     pub backend: Option<Backend>,
 }
@@ -97,6 +104,16 @@
         SocketAddrV4::new(self.ip, METRICS_PORT)
     }
 
+    /// Whether new flows leave the data centre. A deployment that has to bear the loss of a data centre has room for its
+    /// load in the others, which a peak may use too.
+    pub fn overflow(&self) -> Mode {
+        self.overflow.unwrap_or(if self.tolerated_data_centre_losses > 0 {
+            Mode::Adaptive
+        } else {
+            Mode::Penalty
+        })
+    }
+
     /// Longest graceful stop.
     pub fn stop_timeout(&self) -> Duration {
         let killed_after = Duration::from_secs_f64(self.stop_timeout_s);
--- a/crates/dogwoodpitch/src/coordination/steering/reload.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/reload.rs
@@ -7,7 +7,7 @@
 /// Ticks between reloads without a signal.
 const RELOAD_TICKS: u64 = 20;
 
-/// Reloads the settings after a signal and every [`RELOAD_TICKS`]. Seeds and the stop timeout take effect immediately. A
+/// Reloads the settings after a signal and every [`RELOAD_TICKS`]. Seeds, the stop timeout and the overflow take effect immediately. A
 /// change of anything that the sockets or the identity depend on stops the process gracefully; its successor starts with
 /// the new settings.
 pub(super) fn reload_if_due(node: &Rc<Node>, ticks: u64) {
@@ -43,6 +43,8 @@
         seeds: current.seeds.clone(),
         stop_timeout_s: current.stop_timeout_s,
         memory_mb: current.memory_mb,
+        overflow: current.overflow,
+        tolerated_data_centre_losses: current.tolerated_data_centre_losses,
         ..settings.clone()
     };
     same == *current
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -11,6 +11,7 @@
 
 use crate::state::steering::{
     member::{Member, Members},
+    overflow::Overflow,
     placement::{self, Candidate},
     rank,
     route::Table,
@@ -63,24 +64,25 @@
 /// State of a balancer.
 #[derive(Debug)]
 pub struct Balancer {
-    data_centre: Bytes,
     capacity: usize,
     flows: HashMap<Flow, Entry>,
     /// Until when packets may have waited in the socket during a stall of this process.
     packets_late_until: Option<Instant>,
     /// Routes in force.
     pub routes: Rc<Table>,
+    /// Share of the new flows that leaves the data centre.
+    pub overflow: Overflow,
 }
 
 impl Balancer {
     /// Creates a balancer with an empty cache. `capacity` is the maximum number of cached flows.
     pub fn new(data_centre: Bytes, capacity: usize) -> Self {
         Self {
-            data_centre,
             capacity,
             flows: HashMap::new(),
             packets_late_until: None,
             routes: Rc::default(),
+            overflow: Overflow::new(data_centre),
         }
     }
 
@@ -116,15 +118,16 @@
         // When most agents start at the same time, the first ones to open must not get the load of all.
         let accepts =
             |member: &&Member| member.is_open(service, now) || (open < joining && member.is_joining(service, now));
+        let (scope, data_centre) = self.overflow.direct(service, flow, now);
         let mut candidates: Vec<_> = members
             .iter()
             .filter(accepts)
-            .map(|member| Candidate::from_member(member, &self.data_centre))
+            .map(|member| Candidate::from_member(member, data_centre))
             .collect();
         if segment.ack > 0 && candidates.len() > 1 {
             candidates.retain(|candidate| Some(candidate.ip) != previous);
         }
-        if let Some(chosen) = placement::choose(flow, candidates.into_iter()) {
+        if let Some(chosen) = placement::choose_in(flow, candidates.into_iter(), scope) {
             members.count_placement(chosen.ip);
             self.learn(flow, chosen.ip, now);
             self.set_refusable(flow, segment.ack == 0, now);
--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -24,7 +24,7 @@
 
 /// Weight of the newest report in the smoothed load. Most requests are shorter than the report interval, so a single
 /// report predicts little.
-const BUSY_GAIN: f64 = 0.3;
+pub(super) const BUSY_GAIN: f64 = 0.3;
 
 /// A node other than the local one.
 #[derive(Debug, Clone)]
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -16,6 +16,7 @@
 pub mod evidence;
 pub mod freshness;
 pub mod member;
+pub mod overflow;
 pub mod placement;
 pub mod pointer;
 pub mod probe;
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -4,7 +4,7 @@
 //! load would overload one backend server after another in a burst of short requests. The hash of the flow therefore
 //! samples a few candidates, and the smoothed load decides only among these.
 
-use std::{cmp::Ordering, net::Ipv4Addr};
+use std::net::Ipv4Addr;
 
 use bytes::Bytes;
 
@@ -27,19 +27,31 @@
 /// Slots assumed for a backend server whose agent does not know the number yet.
 const DEFAULT_SLOTS: u32 = 4;
 /// Number of candidates sampled in the local data centre.
-const LOCAL_CHOICES: usize = 2;
+pub(super) const LOCAL_CHOICES: usize = 2;
 /// Number of candidates sampled in remote data centres.
 const REMOTE_CHOICES: usize = 1;
 /// Added to the relative load of a remote candidate. Traffic between data centres costs money, but a queue costs more
 /// time than the longer round trip.
 const REMOTE_PENALTY: f64 = 0.15;
 
+/// Which of the candidates are compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Some local ones and a remote one, which has to be less loaded by a margin.
+    Near,
+    /// Some local ones. Remote ones only if there is no local one.
+    Local,
+    /// All.
+    All,
+}
+
 /// An agent that may get a new flow.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
     /// Address of the agent.
     pub ip: Ipv4Addr,
-    /// Whether the agent is in the data centre of the placing node.
+    /// Whether the agent is in the data centre of the placing node, or in the one to which the flow
+    /// [overflows](super::overflow).
     pub local: bool,
     /// Last reported load of the backend server.
     pub load: Load,
@@ -52,7 +64,7 @@
 }
 
 impl Candidate {
-    /// Candidate for an agent, as seen from a node in `data_centre`.
+    /// Candidate for an agent, as seen from `data_centre`.
     pub fn from_member(member: &Member, data_centre: &Bytes) -> Self {
         Self {
             ip: member.ip,
@@ -65,7 +77,7 @@
     }
 
     /// Number of slots, scaled by the speed of the backend server.
-    fn capacity(&self) -> f64 {
+    pub(super) fn capacity(&self) -> f64 {
         let speed = if self.load.cold { COLD_SPEED } else { 1.0 };
         let slots = if self.load.slots == 0 {
             DEFAULT_SLOTS
@@ -75,11 +87,19 @@
         f64::from(slots) * speed.min(self.speed)
     }
 
+    /// Expected load of the open flows that are idle, in slots.
+    pub(super) fn idle_work(&self) -> f64 {
+        IDLE_FLOW_WORK * f64::from(self.load.flows.saturating_sub(self.load.busy))
+    }
+
+    /// Load that is queued, in progress or expected, in slots.
+    pub(super) fn work(&self) -> f64 {
+        self.busy + PLACED_WORK * f64::from(self.pending_placements) + self.idle_work()
+    }
+
     /// Load that is queued, in progress or expected, relative to the capacity.
     pub fn relative_load(&self) -> f64 {
-        let idle = f64::from(self.load.flows.saturating_sub(self.load.busy));
-        let work = self.busy + PLACED_WORK * f64::from(self.pending_placements) + IDLE_FLOW_WORK * idle;
-        work / self.capacity()
+        self.work() / self.capacity()
     }
 
     /// Sort key of weighted random sampling: each candidate comes first with a probability in proportion to its
@@ -98,7 +118,7 @@
 /// Sets the speed of each candidate. A backend server whose requests take much longer than the median counts as slow
 /// even if its health check passes. One that fails requests keeps a small share of its flows, which reveal its
 /// recovery, or its full share if no peer is healthy.
-fn estimate_speeds(candidates: &mut [Candidate]) {
+pub(super) fn estimate_speeds(candidates: &mut [Candidate]) {
     for candidate in &mut *candidates {
         if candidate.load.failed_percent > MAX_HEALTHY_FAILED_PERCENT {
             candidate.speed = MIN_SPEED;
@@ -118,22 +138,60 @@
     }
 }
 
-/// Chooses the least loaded of the candidates that are sampled for the flow.
+/// Chooses the least loaded of the candidates that are sampled for the flow, near ones first.
 pub fn choose(flow: Flow, candidates: impl Iterator<Item = Candidate>) -> Option<Candidate> {
+    choose_in(flow, candidates, Scope::Near)
+}
+
+/// Chooses the least loaded of the candidates in the scope.
+pub fn choose_in(flow: Flow, candidates: impl Iterator<Item = Candidate>, scope: Scope) -> Option<Candidate> {
     let mut candidates: Vec<_> = candidates.collect();
     estimate_speeds(&mut candidates);
-    let (mut local, mut remote): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|candidate| candidate.local);
-    sample(flow, &mut local, LOCAL_CHOICES);
-    sample(flow, &mut remote, REMOTE_CHOICES + LOCAL_CHOICES - local.len());
-    local
+    let is_local = |candidate: &&Candidate| candidate.local;
+    let mut sampled = Vec::new();
+    match scope {
+        Scope::Near => {
+            sample(flow, candidates.iter().filter(is_local), LOCAL_CHOICES, &mut sampled);
+            let remote = REMOTE_CHOICES + LOCAL_CHOICES - sampled.len();
+            sample(
+                flow,
+                candidates.iter().filter(|candidate| !candidate.local),
+                remote,
+                &mut sampled,
+            );
+        }
+        Scope::Local => {
+            sample(flow, candidates.iter().filter(is_local), LOCAL_CHOICES, &mut sampled);
+            if sampled.is_empty() {
+                sample(flow, candidates.iter(), LOCAL_CHOICES, &mut sampled);
+            }
+        }
+        Scope::All => sampled.extend(candidates.iter().map(|candidate| (0.0, *candidate))),
+    }
+    let cost = |candidate: &Candidate| match scope {
+        Scope::Near => candidate.cost(),
+        Scope::Local | Scope::All => candidate.relative_load(),
+    };
+    sampled
         .into_iter()
-        .chain(remote)
-        .min_by(|a, b| a.cost().total_cmp(&b.cost()))
+        .map(|(_, candidate)| candidate)
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
 
-/// Keeps the first `count` candidates in the sampling order of the flow.
-fn sample(flow: Flow, candidates: &mut Vec<Candidate>, count: usize) {
-    let order = |a: &Candidate, b: &Candidate| -> Ordering { a.sampling_key(flow).total_cmp(&b.sampling_key(flow)) };
-    candidates.sort_unstable_by(order);
-    candidates.truncate(count);
+/// Appends the first `count` candidates in the sampling order of the flow, with their keys.
+fn sample<'a>(
+    flow: Flow,
+    candidates: impl Iterator<Item = &'a Candidate>,
+    count: usize,
+    sampled: &mut Vec<(f64, Candidate)>,
+) {
+    let start = sampled.len();
+    for candidate in candidates {
+        let key = candidate.sampling_key(flow);
+        let place = start + sampled[start..].partition_point(|(known, _)| known.total_cmp(&key).is_le());
+        if place < start + count {
+            sampled.insert(place, (key, *candidate));
+            sampled.truncate(start + count);
+        }
+    }
 }
