--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -7,13 +7,16 @@
 };
 
 use bytes::Bytes;
-use dogwoodpitch::state::steering::{
-    member::Members,
-    overflow::{self, Mode, Overflow, Pool, Pools},
-    placement::{self, Candidate, Scope},
-    rank,
-    report::{Load, Report, Stance},
-    segment::Flow,
+use dogwoodpitch::{
+    coordination::steering::Settings,
+    state::steering::{
+        member::Members,
+        overflow::{self, Mode, Overflow, Pool, Pools},
+        placement::{self, Candidate, Scope},
+        rank,
+        report::{Load, Report, Stance},
+        segment::Flow,
+    },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -400,3 +403,25 @@
         Scope::Near
     );
 }
+
+/// A deployment whose settings say nothing, or that need not bear the loss of a data centre, must keep the former rule.
+#[test]
+fn settings_select_the_mode() {
+    for (fields, mode) in [
+        ("", Mode::Penalty),
+        (r#""tolerated_data_centre_losses": 0,"#, Mode::Penalty),
+        (r#""tolerated_data_centre_losses": 1,"#, Mode::Adaptive),
+        (
+            r#""tolerated_data_centre_losses": 1, "overflow": "penalty","#,
+            Mode::Penalty,
+        ),
+        (r#""overflow": "least-loaded","#, Mode::LeastLoaded),
+    ] {
+        let text = format!(
+            r#"{{"name": "n", "ip": "10.1.0.1", "data_centre": "east", "port": 1, "packets": "10.1.0.1:2", {fields}
+            "ready": "10.1.0.1:3", "memory_mb": 64, "stop_timeout_s": 6, "backend": null}}"#
+        );
+        let settings: Settings = serde_json::from_str(&text).unwrap();
+        assert_eq!(settings.overflow(), mode, "{fields}");
+    }
+}
