--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -17,6 +17,7 @@
 pub mod evidence;
 pub mod freshness;
 pub mod member;
+pub mod overflow;
 pub mod placement;
 pub mod pointer;
 pub mod probe;
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -9,6 +9,7 @@
 mod fuzz;
 mod lifetime;
 mod load;
+mod overflow;
 mod reset;
 mod warm_up;
 
