--- a/crates/dogwoodpitch/tests/steering/rate.rs
+++ b/crates/dogwoodpitch/tests/steering/rate.rs
@@ -13,8 +13,8 @@
 
 /// Requests that run one after the other at a backend server of the given speed, three in a hundred with seven times
 /// the work. Returns the reported latency after each answer, without the first ones.
-fn reported_latencies(speed: f64, seed: u64) -> Vec<u32> {
-    let mut rng = StdRng::seed_from_u64(seed);
+fn reported_latencies(speed: f64, random: u64) -> Vec<u32> {
+    let mut rng = StdRng::seed_from_u64(random);
     let mut now = Instant::now();
     let mut agent = agent_with_backend(A, now);
     let members = Members::default();
