--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -63,7 +63,7 @@
 
 impl Syn {
     /// Whether a backend server with this work can be expected to answer the flow's first request well within the goal.
-    fn has_room(&self, work: Work) -> bool {
+    pub fn has_room(&self, work: Work) -> bool {
         let (work_per_slot, share) = if self.priority <= MAX_URGENT_PRIORITY {
             (URGENT_WORK_PER_SLOT, URGENT_GOAL_SHARE)
         } else {
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod freshness;
 mod fuzz;
+mod handover;
 mod lifetime;
 mod load;
 mod rate;
