admission: serve SYNs that can meet their goal before those that can't

Cause: in a burst, copies of SYNs that have waited at other agents stand in the queue by the end of their wait, before younger SYNs whose requests could still be in time.

--- a/crates/dogwoodpitch/src/state/steering/agent/opening.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/opening.rs
@@ -147,7 +147,7 @@
             self.queue.clear()
         };
         out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
-        while open && let Some(syn) = self.queue.next(self.work(now)) {
+        while open && let Some(syn) = self.queue.next(self.work(now), now) {
             let flow = syn.flow;
             if self
                 .table
