--- a/crates/dogwoodpitch/tests/steering/rate.rs
+++ b/crates/dogwoodpitch/tests/steering/rate.rs
@@ -56,3 +56,23 @@
         );
     }
 }
+
+/// Requests that get no answer (a grey backend server that hangs, skalholt-quiz-grown trouble-2 at 23.9 s) must not
+/// stand in the slots of the estimate for ever: it would not see that the backend server turns slow.
+#[test]
+fn requests_without_an_answer_do_not_blind_the_estimate() {
+    let mut now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    let members = Members::default();
+    let hanging = 10..20;
+    for port in 0..120 {
+        let mut out = Vec::new();
+        agent.handle_backend_packet(&from_backend(port, 500), now, &mut out);
+        agent.handle_client_packet(&data(port, 501), hop(BALANCER), &members, now, &mut out);
+        if !hanging.contains(&port) {
+            now += if port < hanging.start { 30 * MS } else { 90 * MS };
+            agent.handle_backend_packet(&answer(port, 501, 100), now, &mut out);
+        }
+    }
+    assert!((80..=90).contains(&agent.load(now).latency_ms), "{:?}", agent.load(now));
+}
