agent: take the handover of SYNs and the order of the queue out again

Tried: SYNs that would wait are handed to peers of the data centre, and SYNs that can meet their goal go first.

--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -26,8 +26,6 @@
 const MAX_URGENT_PRIORITY: u8 = 1;
 /// Number of the last copy of a SYN that a client sends.
 const LAST_COPY: u32 = 2;
-/// Time from the start of a client's try to its SYN, and to each copy.
-const COPY_AGES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
 /// Maximum time in the queue. After it, the next copy is on the way to another agent.
 const MAX_WAIT: Duration = Duration::from_millis(190);
 /// The same limit for the last copy. The client's try ends 800 ms after it.
@@ -46,14 +44,6 @@
     pub service_time: Duration,
 }
 
-impl Work {
-    /// Expected response time of a request that is added.
-    fn answered_after(self) -> Duration {
-        let rounds = f64::from(self.requests + 1) / f64::from(self.slots.max(1));
-        self.service_time.mul_f64(rounds)
-    }
-}
-
 /// SYN of a new flow.
 #[derive(Debug, Clone, Copy)]
 pub struct Syn {
@@ -73,15 +63,16 @@
 
 impl Syn {
     /// Whether a backend server with this work can be expected to answer the flow's first request well within the goal.
-    pub fn has_room(&self, work: Work) -> bool {
+    fn has_room(&self, work: Work) -> bool {
         let (work_per_slot, share) = if self.priority <= MAX_URGENT_PRIORITY {
             (URGENT_WORK_PER_SLOT, URGENT_GOAL_SHARE)
         } else {
             (NORMAL_WORK_PER_SLOT, NORMAL_GOAL_SHARE)
         };
         let slots = work.slots.max(1);
-        let in_time =
-            work.requests < slots.saturating_mul(work_per_slot) && work.answered_after() <= self.goal.mul_f64(share);
+        let rounds = f64::from(work.requests + 1) / f64::from(slots);
+        let answered_after = work.service_time.mul_f64(rounds);
+        let in_time = work.requests < slots.saturating_mul(work_per_slot) && answered_after <= self.goal.mul_f64(share);
         work.slots == 0 || work.requests < work.slots || in_time
     }
 
@@ -90,11 +81,6 @@
         self.copy >= LAST_COPY
     }
 
-    /// Time since the client sent the first SYN of its try.
-    fn age(&self) -> Duration {
-        COPY_AGES[self.copy.min(LAST_COPY) as usize]
-    }
-
     fn max_wait(&self) -> Duration {
         if self.is_last() { MAX_LAST_WAIT } else { MAX_WAIT }
     }
@@ -114,8 +100,6 @@
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     syn: Syn,
-    /// When the answer to the flow's first request is due by the goal, as far as the copies of the SYN tell its age.
-    goal_at: Instant,
     expires_at: Instant,
 }
 
@@ -134,11 +118,8 @@
         if self.syns.len() >= MAX_QUEUED {
             return Outcome::QueueFull;
         }
-        self.syns.push(Entry {
-            syn,
-            goal_at: (now + syn.goal).checked_sub(syn.age()).unwrap_or(now),
-            expires_at: now + syn.max_wait(),
-        });
+        let expires_at = now + syn.max_wait();
+        self.syns.push(Entry { syn, expires_at });
         Outcome::Queued
     }
 
@@ -147,14 +128,13 @@
         !self.remove_where(|entry| entry.syn.flow == flow).is_empty()
     }
 
-    /// Removes and returns the next SYN for which there is room: by priority, those that can still meet their goal before
-    /// those that can't, then by the end of the wait.
-    pub fn next(&mut self, work: Work, now: Instant) -> Option<Syn> {
-        let answered_at = now + work.answered_after();
+    /// Removes and returns the next SYN for which there is room: by priority, last copies after earlier ones because
+    /// their requests can hardly meet the goal any more, then by the end of the wait.
+    pub fn next(&mut self, work: Work) -> Option<Syn> {
         let candidates = self.syns.iter().enumerate();
         let (index, _) = candidates
             .filter(|(_, entry)| entry.syn.has_room(work))
-            .min_by_key(|(_, entry)| (entry.syn.priority, answered_at > entry.goal_at, entry.expires_at))?;
+            .min_by_key(|(_, entry)| (entry.syn.priority, entry.syn.is_last(), entry.expires_at))?;
         Some(self.syns.remove(index).syn)
     }
 
--- a/crates/dogwoodpitch/src/state/steering/agent/opening.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/opening.rs
@@ -1,9 +1,6 @@
 //! New flows: whether the backend server takes one, now or after a wait in the queue, and who gets it otherwise.
 
-use std::{
-    net::Ipv4Addr,
-    time::{Duration, Instant},
-};
+use std::{net::Ipv4Addr, time::Instant};
 
 use crate::state::steering::{
     admission::{self, Syn, Work},
@@ -12,7 +9,6 @@
         effect::{Effect, Hop, Note, Origin, log, send_note},
     },
     backend::Phase,
-    handover,
     member::Members,
     placement::{self, Candidate},
     segment::{Flow, Segment},
@@ -42,11 +38,6 @@
             out.push(Effect::Discard { flow });
         }
         if accepts && !known {
-            if let Some(to) = self.choose_roomier_peer(segment, hop, members, now) {
-                log(out, flow, "divert: backend server is loaded");
-                out.push(hop.origin().forward(to));
-                return;
-            }
             match self.offer(segment, hop, now) {
                 admission::Outcome::Admitted => {}
                 admission::Outcome::Queued => {
@@ -75,55 +66,19 @@
 
     /// Offers a new flow to the backend server.
     pub(super) fn offer(&mut self, segment: &Segment, hop: Hop, now: Instant) -> admission::Outcome {
-        match self.admissible(segment, hop) {
-            Some(syn) => self.queue.offer(syn, self.work(now), now),
-            None => admission::Outcome::Admitted,
-        }
-    }
-
-    /// Describes a SYN for the admission. `None` if its route is not known.
-    fn admissible(&self, segment: &Segment, hop: Hop) -> Option<Syn> {
         let flow = segment.flow_from_client();
-        let route = self.routes.get(flow.service)?;
-        Some(Syn {
+        let Some(route) = self.routes.get(flow.service) else {
+            return admission::Outcome::Admitted;
+        };
+        let syn = Syn {
             flow,
             goal: route.goal,
             priority: route.priority,
             copy: segment.ack,
             balancer: hop.balancer,
             hops: hop.hops,
-        })
-    }
-
-    /// Chooses a peer of the data centre for a SYN that would wait here, if one has clearly more room.
-    fn choose_roomier_peer(&self, segment: &Segment, hop: Hop, members: &Members, now: Instant) -> Option<Ipv4Addr> {
-        let syn = self.admissible(segment, hop)?;
-        let work = self.work(now);
-        if hop.hops >= handover::MAX_HANDOVERS || syn.has_room(work) {
-            return None;
-        }
-        let own_time = self.table.typical_service_time();
-        let requests = f64::from(work.requests) + f64::from(self.queue.len());
-        let open = members.iter().filter(|member| {
-            member.is_open(&self.service, now)
-                && member.report.data_centre == self.data_centre
-                && member.ip != hop.sender
-                && !member.report.load.cold
-                && !placement::is_failing(&member.report.load)
-        });
-        let peers = open.map(|member| {
-            let load = member.report.load;
-            let service_time = match load.latency_ms {
-                0 => own_time,
-                latency_ms => Duration::from_millis(latency_ms.into()),
-            };
-            handover::Peer {
-                ip: member.ip,
-                answered_after: handover::answered_after(service_time, member.busy, load.slots),
-            }
-        });
-        let own = handover::answered_after(own_time, requests, work.slots);
-        handover::choose(syn.flow, own, peers)
+        };
+        self.queue.offer(syn, self.work(now), now)
     }
 
     pub(super) fn work(&self, now: Instant) -> Work {
@@ -147,7 +102,7 @@
             self.queue.clear()
         };
         out.extend(removed.into_iter().map(|flow| Effect::Discard { flow }));
-        while open && let Some(syn) = self.queue.next(self.work(now), now) {
+        while open && let Some(syn) = self.queue.next(self.work(now)) {
             let flow = syn.flow;
             if self
                 .table
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -15,7 +15,6 @@
 pub mod discovery;
 pub mod evidence;
 pub mod freshness;
-pub mod handover;
 pub mod member;
 pub mod placement;
 pub mod pointer;
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -95,17 +95,12 @@
     }
 }
 
-/// Whether a backend server fails so many requests that it gets few flows.
-pub fn is_failing(load: &Load) -> bool {
-    load.failed_percent > MAX_HEALTHY_FAILED_PERCENT
-}
-
 /// Sets the speed of each candidate. A backend server whose requests take much longer than the median counts as slow
 /// even if its health check passes. One that fails requests keeps a small share of its flows, which reveal its
 /// recovery, or its full share if no peer is healthy.
 fn estimate_speeds(candidates: &mut [Candidate]) {
     for candidate in &mut *candidates {
-        if is_failing(&candidate.load) {
+        if candidate.load.failed_percent > MAX_HEALTHY_FAILED_PERCENT {
             candidate.speed = MIN_SPEED;
         }
     }
