--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -623,6 +623,25 @@
     assert_eq!(resets(&out), 0);
 }
 
+/// Packets of a backend server overtake one another, and the FIN after a short response comes before its data. A FIN that
+/// follows no new data is no answer.
+#[test]
+fn an_answer_is_measured_although_its_fin_comes_first() {
+    for (response_len, is_measured) in [(2_000, true), (0, false)] {
+        let now = Instant::now();
+        let mut agent = agent_with_backend(A, now);
+        let mut out = Vec::new();
+        agent.handle_backend_packet(&from_backend(1, 500), now, &mut out);
+        agent.handle_client_packet(&data(1, 501), hop(BALANCER), &Members::default(), now, &mut out);
+        let mut fin = answer(1, 501 + response_len, 0);
+        fin.flags = Flags::ACK.union(Flags::FIN);
+        agent.handle_backend_packet(&fin, now + 50 * MS, &mut out);
+        agent.handle_backend_packet(&answer(1, 501, 1_200), now + 51 * MS, &mut out);
+        assert_eq!(agent.load(now).latency_ms > 0, is_measured, "{response_len}");
+        assert_eq!(agent.load(now).busy, 0);
+    }
+}
+
 /// Backend servers may report that they are healthy but reset each request or leave it without a response
 /// (nhsc-edge-grown trouble-1 from 2.4 s on). The load of their agents must show the failures, and decay so that they
 /// are tried again later.
