--- a/crates/dogwoodpitch/tests/steering/admission.rs
+++ b/crates/dogwoodpitch/tests/steering/admission.rs
@@ -217,3 +217,60 @@
         assert_eq!(queue.urgent_in_time, all.urgent_in_time, "{queue:?} {all:?}");
     }
 }
+
+fn queued(port: u16, copy: u32) -> Syn {
+    Syn {
+        flow: flow(port),
+        goal: 300 * MS,
+        priority: 2,
+        copy,
+        balancer: BALANCER,
+        hops: 0,
+    }
+}
+
+const FULL: Work = Work {
+    slots: 2,
+    requests: 6,
+    service_time: Duration::from_millis(40),
+};
+
+/// A copy left the queue 210 ms before its client sends the next one, so room that came in between was of no use to it.
+#[test]
+fn a_syn_waits_until_its_next_copy_is_due() {
+    let now = Instant::now();
+    for (copy, wait_ms) in [(0, 180), (1, 380), (2, 680)] {
+        let mut queue = Queue::default();
+        queue.offer(queued(1, copy), FULL, now);
+        assert!(queue.expire(now + wait_ms * MS).is_empty(), "copy {copy}");
+        assert!(queue.next(Work { requests: 1, ..FULL }).is_some(), "copy {copy}");
+    }
+}
+
+/// All clients return after a loss of power, and for seconds twice as many SYNs arrive as are delivered. Last copies, which
+/// gave way to all other SYNs, were never delivered, and the tries of their clients ended without an answer.
+#[test]
+fn last_copies_get_their_share_of_a_full_backend_server() {
+    let start = Instant::now();
+    let mut queue = Queue::default();
+    let is_last = |port: u16| port.is_multiple_of(5);
+    let mut delivered = [0_u16; 2];
+    let ports = 1_u16..=500;
+    for port in ports.clone() {
+        let now = start + u32::from(port) * 20 * MS;
+        queue.expire(now);
+        if port.is_multiple_of(2)
+            && let Some(syn) = queue.next(Work { requests: 1, ..FULL })
+        {
+            delivered[usize::from(syn.copy == 2)] += 1;
+        }
+        queue.offer(queued(port, if is_last(port) { 2 } else { 0 }), FULL, now);
+    }
+    let offered = ports.filter(|port| is_last(*port)).count();
+    let [first, last] = delivered.map(usize::from);
+    assert!(
+        last * (500 - offered) * 2 >= first * offered,
+        "{first} first SYNs, {last} last copies"
+    );
+    assert!(first + last >= 245, "{first} first SYNs, {last} last copies");
+}
