--- a/crates/dogwoodpitch/src/state/steering/admission.rs
+++ b/crates/dogwoodpitch/src/state/steering/admission.rs
@@ -26,13 +26,10 @@
 const MAX_URGENT_PRIORITY: u8 = 1;
 /// Number of the last copy of a SYN that a client sends.
 const LAST_COPY: u32 = 2;
-/// Maximum time in the queue of the first SYN and of each copy. After it, the next copy is on the way to another agent, or
-/// the client's try is about to end.
-const MAX_WAITS: [Duration; 3] = [
-    Duration::from_millis(190),
-    Duration::from_millis(390),
-    Duration::from_millis(700),
-];
+/// Maximum time in the queue. After it, the next copy is on the way to another agent.
+const MAX_WAIT: Duration = Duration::from_millis(190);
+/// The same limit for the last copy. The client's try ends 800 ms after it.
+const MAX_LAST_WAIT: Duration = Duration::from_millis(700);
 /// Maximum length of the queue. More SYNs could not be delivered within their time limit.
 const MAX_QUEUED: usize = 256;
 
@@ -79,8 +76,13 @@
         work.slots == 0 || work.requests < work.slots || in_time
     }
 
+    /// Whether this is the last copy that the client sends.
+    fn is_last(&self) -> bool {
+        self.copy >= LAST_COPY
+    }
+
     fn max_wait(&self) -> Duration {
-        MAX_WAITS[self.copy.min(LAST_COPY) as usize]
+        if self.is_last() { MAX_LAST_WAIT } else { MAX_WAIT }
     }
 }
 
@@ -131,13 +133,13 @@
         !self.remove_where(|entry| entry.syn.flow == flow).is_empty()
     }
 
-    /// Removes and returns the next SYN for which there is room: by priority, then by the end of the wait.
-    /// A copy thus gets its turn before its client's try ends, although its request may have missed the goal.
+    /// Removes and returns the next SYN for which there is room: by priority, last copies after earlier ones because
+    /// their requests can hardly meet the goal any more, then by the end of the wait.
     pub fn next(&mut self, work: Work) -> Option<Syn> {
         let candidates = self.syns.iter().enumerate();
         let (index, _) = candidates
             .filter(|(_, entry)| entry.syn.has_room(work))
-            .min_by_key(|(_, entry)| (entry.syn.priority, entry.expires_at))?;
+            .min_by_key(|(_, entry)| (entry.syn.priority, entry.syn.is_last(), entry.expires_at))?;
         Some(self.syns.remove(index).syn)
     }
 
