warm-up: a tiny rate neither ends the process nor lifts the limit

Cause: the span of a rate below 5e-20 is Duration::MAX, and adding the jitter panicked; a span beyond the range of the clock counted as room all the time. Result: the_limit_holds_in_every_second_and_is_used with 1e-30, 1e-19 and f64::MIN_POSITIVE panicked before and passes. Conclusion: a limit holds at each rate above 0.

--- a/crates/dogwoodpitch/src/state/steering/warm_up.rs
+++ b/crates/dogwoodpitch/src/state/steering/warm_up.rs
@@ -14,6 +14,8 @@
 const MAX_RECORDED: u16 = 2_048;
 /// Time by which the delays of two requests, from the decision to the backend server, may differ.
 const DELIVERY_JITTER: Duration = Duration::from_millis(20);
+/// Longest time between two requests, so that a span stays within the range of the clock at any rate.
+const MAX_SPACING: Duration = Duration::from_hours(24);
 
 /// Requests that a backend server got while it was warming up, or while that was not known.
 #[derive(Debug, Clone)]
@@ -55,16 +57,16 @@
     /// longer so that it holds a whole number of requests.
     pub fn room_at(&self, rate: f64) -> Option<Instant> {
         let count = requests_per_span(rate)?;
-        let span = spacing(rate).checked_mul(u32::try_from(count).ok()?)? + DELIVERY_JITTER;
-        let oldest = self.requests.len().checked_sub(count);
+        let span = spacing(rate) * u32::from(count) + DELIVERY_JITTER;
+        let oldest = self.requests.len().checked_sub(count.into());
         let limiting = oldest.and_then(|index| self.requests.get(index)).copied();
-        limiting.max(self.unknown_until)?.checked_add(span)
+        Some(limiting.max(self.unknown_until)? + span)
     }
 }
 
 /// Mean time between two requests.
 pub fn spacing(rate: f64) -> Duration {
-    Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX)
+    Duration::try_from_secs_f64(1.0 / rate).map_or(MAX_SPACING, |spacing| spacing.min(MAX_SPACING))
 }
 
 /// Number of requests in a span, or `None` if there are too many to remember.
@@ -73,7 +75,7 @@
     clippy::cast_sign_loss,
     reason = "the number is between 1 and the maximum"
 )]
-fn requests_per_span(rate: f64) -> Option<usize> {
+fn requests_per_span(rate: f64) -> Option<u16> {
     let count = rate.ceil().max(1.0);
-    (count <= f64::from(MAX_RECORDED)).then_some(count as usize)
+    (count <= f64::from(MAX_RECORDED)).then_some(count as u16)
 }
--- a/crates/dogwoodpitch/tests/steering/warm_up.rs
+++ b/crates/dogwoodpitch/tests/steering/warm_up.rs
@@ -94,10 +94,11 @@
 }
 
 /// A limit that counts per second lets twice as many pass around the border of two seconds; one that rounds a rate down
-/// leaves a backend server of a low rate without any request.
+/// leaves a backend server of a low rate without any request; a rate whose span is longer than the clock counts must neither
+/// end the process nor let all in.
 #[test]
 fn the_limit_holds_in_every_second_and_is_used() {
-    for rate in [0.4, 1.0, 1.5, 6.0, 6.5, 40.0] {
+    for rate in [f64::MIN_POSITIVE, 1e-30, 1e-19, 0.4, 1.0, 1.5, 6.0, 6.5, 40.0] {
         let start = Instant::now();
         let mut limit = Limit::new(start);
         limit.mark_first_process();
