warm-up: do not refuse a flow that an untried cold peer may take

Cause: a SYN passed on once was refused when all open peers were cold, also if one of them had not been tried and had room. Change: a cold peer counts as taking none only if it has passed this SYN on, or if its load by the last report and this agent's placements fills its capacity by its rate. Otherwise the SYN is dropped, and its copy tries another agent. Result: a_mass_of_flows_at_cold_backend_servers_is_refused_at_once with a further cold peer, idle and full: the idle one failed before; both pass. Conclusion: a refusal holds by what the agent knows. Fewer SYNs of a herd are refused, and more are dropped.

--- a/crates/dogwoodpitch/src/state/steering/agent/warming.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/warming.rs
@@ -12,6 +12,7 @@
         effect::{Effect, Hop, Note, log, send_note},
     },
     member::{Member, Members},
+    placement::Candidate,
     segment::Segment,
     warm_up,
 };
@@ -82,7 +83,7 @@
         if in_time && self.queue.hold(syn, now) == Outcome::Queued {
             log(out, flow, "wait: backend server is warming up");
             out.push(Effect::Hold { flow });
-        } else if segment.ack > 0 || warm.is_some() || !self.are_peers_closed_or_cold(members, now) {
+        } else if segment.ack > 0 || warm.is_some() || !self.are_peers_closed_or_cold(hop, members, now) {
             log(out, flow, "drop: backend server is warming up");
         } else {
             log(out, flow, "refuse: backend server is warming up");
@@ -99,9 +100,18 @@
         }
     }
 
-    fn are_peers_closed_or_cold(&self, members: &Members, now: Instant) -> bool {
+    /// Whether no peer is known to take a new flow or may start to: each is closed, or cold and either the one that has
+    /// passed the flow on or as loaded as its rate allows.
+    fn are_peers_closed_or_cold(&self, hop: Hop, members: &Members, now: Instant) -> bool {
+        let is_full = |member: &Member| {
+            let candidate = Candidate::from_member(member, &self.data_centre, &self.routes);
+            member.ip == hop.sender || candidate.relative_load() >= 1.0
+        };
         let is_cold = |member: &Member| member.is_open(&self.service, now) && member.report.load.cold;
         let mut agents = members.agents(&self.service);
-        agents.all(|member| !member.is_starting(&self.service, now) && (member.refuses_flows(now) || is_cold(member)))
+        agents.all(|member| {
+            let takes_none = member.refuses_flows(now) || (is_cold(member) && is_full(member));
+            !member.is_starting(&self.service, now) && takes_none
+        })
     }
 }
--- a/crates/dogwoodpitch/tests/steering/warm_up.rs
+++ b/crates/dogwoodpitch/tests/steering/warm_up.rs
@@ -258,10 +258,21 @@
     };
     let mut mixed = peer(true, start);
     mixed.record_report(C, agent_report(2, 1, Stance::Restarting), start);
+    // Another cold one, which has not been tried: with room, and as busy as it can be while it is cold.
+    let several = |busy| {
+        let mut report = agent_report(2, 1, Stance::Open);
+        report.load.cold = true;
+        report.load.busy = busy;
+        let mut peers = peer(true, start);
+        peers.record_report(C, report, start);
+        peers
+    };
     for (peers, copy, expected) in [
         (peer(true, start), 0, true),
         (peer(true, start), 1, false),
         (mixed, 0, false),
+        (several(0), 0, false),
+        (several(7), 0, true),
     ] {
         let mut agent = cold_agent(A, Some(RATE), start);
         let outs: Vec<_> = (0..40)
