evacuation: lists do not tell that a backend server is draining

Cause: lists leave the evacuations out, so an evacuated agent looked in them as if its backend server were draining. A node that had learnt of it from a list told its restarted process so, which then stayed closed until its first heartbeat. Change: an entry in a list leaves that word as it was if the data centre is known to be evacuated; the notice, if it comes after the list, clears it for nodes that have not reported themselves. Result: an_evacuation_does_not_look_like_a_draining_backend_server on the list path, before and after the notice: failed before and passes. A listed draining agent without an evacuation is still known as draining (same test). Conclusion: only a report of the agent itself tells the word during an evacuation.

--- a/crates/dogwoodpitch/src/state/steering/member.rs
+++ b/crates/dogwoodpitch/src/state/steering/member.rs
@@ -45,7 +45,8 @@
     remove_at: Instant,
     restarting_until: Option<Instant>,
     /// Whether the backend server of an agent was draining by the last report that tells it. That of a restart does not, nor
-    /// that of an evacuated agent.
+    /// that of an evacuated agent. Lists leave the evacuations out, so what they tell of one that is known to be evacuated
+    /// does not count.
     backend_draining: bool,
     /// Whether the data centre of the node is evacuated, by the newest notice known here.
     evacuated: bool,
@@ -102,7 +103,11 @@
         }
         let same_process = self.report.incarnation == listed.incarnation;
         if same_process && listed.number > self.report.number {
+            let draining_before = self.backend_draining;
             self.set_report(listed, now);
+            if self.evacuated {
+                self.backend_draining = draining_before;
+            }
         }
         false
     }
@@ -115,6 +120,13 @@
         self.report = report;
     }
 
+    fn set_evacuated(&mut self, data_centres: &BTreeSet<Bytes>) {
+        self.evacuated = data_centres.contains(&self.report.data_centre);
+        if self.evacuated && !self.heard {
+            self.backend_draining = false;
+        }
+    }
+
     fn record_contact(&mut self, now: Instant) {
         self.heard = true;
         self.heard_at = now;
@@ -234,13 +246,13 @@
     pub fn set_evacuated(&mut self, data_centres: &BTreeSet<Bytes>) {
         self.evacuated.clone_from(data_centres);
         for member in self.nodes.values_mut() {
-            member.evacuated = data_centres.contains(&member.report.data_centre);
+            member.set_evacuated(data_centres);
         }
     }
 
     fn mark_evacuated(&mut self, ip: Ipv4Addr) {
         if let Some(member) = self.nodes.get_mut(&ip) {
-            member.evacuated = self.evacuated.contains(&member.report.data_centre);
+            member.set_evacuated(&self.evacuated);
         }
     }
 
--- a/crates/dogwoodpitch/tests/steering/evacuation.rs
+++ b/crates/dogwoodpitch/tests/steering/evacuation.rs
@@ -265,6 +265,21 @@
         let change = known.record_report(A, agent_report(2, 1, Stance::Joining), now);
         assert_eq!(change, Change::New { was_draining });
     }
+    // Lists do not tell why an agent is draining, and may come before the notice.
+    let listed = || [(A, agent_report(1, 2, Stance::Draining))];
+    for (heard, set_before, set_after, was_draining) in [
+        (false, true, false, false),
+        (false, false, true, false),
+        (true, true, false, false),
+        (false, false, false, true),
+    ] {
+        let mut known = members(if heard { &[A] } else { &[] }, Stance::Open, now);
+        known.set_evacuated(&set(if set_before { &["east"] } else { &[] }));
+        known.add_listed(listed(), now);
+        known.set_evacuated(&set(if set_before || set_after { &["east"] } else { &[] }));
+        let change = known.record_report(A, agent_report(2, 1, Stance::Joining), now);
+        assert_eq!(change, Change::New { was_draining }, "{heard} {set_before} {set_after}");
+    }
     // The agent of a node that restarts in the evacuation takes nothing once the first report has told it.
     let mut restarted = agent(A, now);
     let mut known = members_with_west(now);
