evacuation: read the store again when there may be room for a rejected name

Cause: a data centre whose name found no room in the 512 bytes stayed in service after others were taken back, until the next full list. Change: Watched remembers that a name was rejected; a removal that frees room makes the watcher read the whole set again. The notice of that removal is left out, because the set that is read may have the same revision, which would be ignored. The read in the watcher's loop has no test of its own. Conclusion: the rest of the names follows one read after a removal; if that read fails, the removal waits for it too.

--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -24,7 +24,7 @@
     state::{
         roster::Role,
         steering::{
-            evacuation::Notice,
+            evacuation::Watched,
             freshness::{self, Age, Freshness},
             member::Member,
             route::Table,
@@ -120,7 +120,7 @@
     let prefix = node.platform.operator_prefix;
     let store = &node.platform.store;
     // The evacuations as of the revision from which the watch continues.
-    let mut listed: Option<Notice> = None;
+    let mut listed: Option<Watched> = None;
     loop {
         let now = Instant::now();
         if !is_watch_needed(node, now) {
@@ -128,13 +128,13 @@
             time::sleep_until(now + PEER_CHECK_INTERVAL).await;
             continue;
         }
-        let Some(evacuations) = &mut listed else {
+        let Some(evacuations) = listed.as_mut().filter(|watched| !watched.outdated) else {
             listed = Some(read(node).await?);
             *pause = MIN_PAUSE;
             continue;
         };
         let until = now + WATCH_WAIT;
-        match (store.watch)(prefix.to_owned(), evacuations.revision, until).await? {
+        match (store.watch)(prefix.to_owned(), evacuations.notice.revision, until).await? {
             Watch::Changes(response) => {
                 apply_response(node, evacuations, response, "watch");
                 let confirmed_at = until.min(Instant::now());
@@ -147,7 +147,7 @@
 }
 
 /// Reads the configuration and the evacuations, and returns these with the revision from which a watch can continue.
-async fn read(node: &Rc<Node>) -> Result<Notice, crate::coordination::store::Error> {
+async fn read(node: &Rc<Node>) -> Result<Watched, crate::coordination::store::Error> {
     let now = Instant::now();
     let deadline = now + READ_TIMEOUT;
     // The other nodes wait for a watcher to find the store as soon as it is back.
@@ -158,7 +158,7 @@
     };
     let list = || (node.platform.store.list)(node.platform.operator_prefix.to_owned(), false, deadline);
     let response = kv::read_hedged(list, interval, deadline).await?;
-    let mut evacuations = Notice::default();
+    let mut evacuations = Watched::default();
     apply_response(node, &mut evacuations, response, "store");
     node.config.update_freshness(|freshness| freshness.confirm(now));
     Ok(evacuations)
@@ -198,11 +198,12 @@
 
 /// Applies the changes in a response to the evacuations, and then the configuration: who pulls its version from this node has
 /// heard of the evacuations before.
-fn apply_response(node: &Rc<Node>, evacuations: &mut Notice, response: Response, source: &'static str) {
+fn apply_response(node: &Rc<Node>, evacuations: &mut Watched, response: Response, source: &'static str) {
     for reason in &response.rejected {
         node.reject_entry(reason);
     }
-    evacuations.revision = evacuations.revision.max(response.revision);
+    let revision = evacuations.notice.revision.max(response.revision);
+    evacuations.notice.revision = revision;
     for changed in &response.keys {
         if let Some(data_centre) = (node.platform.decode_evacuation)(&changed.key)
             && !evacuations.set(data_centre, changed.present)
@@ -210,7 +211,9 @@
             node.reject_entry("too many evacuated data centres");
         }
     }
-    evacuation::apply(node, evacuations, source);
+    if !evacuations.outdated {
+        evacuation::apply(node, &evacuations.notice, source);
+    }
     let key = node.platform.config_key.as_bytes();
     for entry in response.entries {
         if entry.key == key {
--- a/crates/dogwoodpitch/src/state/steering/evacuation.rs
+++ b/crates/dogwoodpitch/src/state/steering/evacuation.rs
@@ -50,6 +50,29 @@
     }
 }
 
+/// Evacuations as a watcher of the store reads them.
+#[derive(Debug, Default)]
+pub struct Watched {
+    /// What the store holds, as far as there is room.
+    pub notice: Notice,
+    /// Whether there was no room for a name.
+    rejected: bool,
+    /// Whether there may be room for a rejected name since a removal, so that the store has to be read again. The notice
+    /// must not be applied then, because the one that is read may have the same revision.
+    pub outdated: bool,
+}
+
+impl Watched {
+    /// Applies one change of the store. Returns whether there is room for the name.
+    pub fn set(&mut self, data_centre: Bytes, evacuated: bool) -> bool {
+        let frees_room = !evacuated && self.notice.data_centres.contains(&data_centre);
+        let has_room = self.notice.set(data_centre, evacuated);
+        self.rejected |= !has_room;
+        self.outdated |= self.rejected && frees_room;
+        has_room
+    }
+}
+
 /// Beginning or end of an evacuation, as a node learns it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
--- a/crates/dogwoodpitch/tests/steering/evacuation.rs
+++ b/crates/dogwoodpitch/tests/steering/evacuation.rs
@@ -8,7 +8,7 @@
     state::steering::{
         agent::{Agent, Effect, Note},
         balancer::{Balancer, Decision},
-        evacuation::{Evacuations, Notice},
+        evacuation::{Evacuations, Notice, Watched},
         member::{Change, Members},
         report::{Report, Stance},
     },
@@ -108,6 +108,20 @@
     assert!(HEADER_LEN + steer::encode(&Message::Report(report)).len() + 200 < MAX_DATAGRAM);
 }
 
+/// A data centre for which there was no room would stay in service after others were taken back.
+#[test]
+fn the_store_is_read_again_when_there_may_be_room_for_a_rejected_name() {
+    for (names, rejected) in [(2, false), (500, true)] {
+        let name = |number: u32| Bytes::from(format!("zone-{number}"));
+        let mut watched = Watched::default();
+        let stored = (0..names).filter(|number| watched.set(name(*number), true)).count();
+        assert_eq!(stored < 500 && names == 500, rejected);
+        assert!(!watched.outdated);
+        watched.set(name(0), false);
+        assert_eq!(watched.outdated, rejected);
+    }
+}
+
 /// The agent is the last to see a SYN. It must not deliver one while a balancer has not heard of the evacuation, must keep
 /// its open flows, and must serve again as soon as its data centre is taken back.
 #[test]
