evacuation: an agent whose stance changes reports it once

Cause: it reported to all nodes and then to the balancers again. Change: report_change tells whether it has reported to all; then nothing more is sent. Conclusion: one report less to each balancer at a change.

--- a/crates/dogwoodpitch/src/coordination/steering/agent.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/agent.rs
@@ -127,13 +127,15 @@
     accepted.unwrap_or(false)
 }
 
-/// Reports to all nodes immediately if the advertised state changed.
-pub(super) fn report_change(node: &Node, before: Life, now: Instant) {
+/// Reports to all nodes immediately if the advertised state changed. Returns whether it did.
+pub(super) fn report_change(node: &Node, before: Life, now: Instant) -> bool {
     let after = node.life(now);
-    if before != after {
+    let changed = before != after;
+    if changed {
         log::info!(event = "agent.stance", before:? = before, after:? = after; "advertised state changed");
         node.send_report_to(|_member| true);
     }
+    changed
 }
 
 async fn receive(node: Rc<Node>) -> io::Result<()> {
--- a/crates/dogwoodpitch/src/coordination/steering/evacuation.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/evacuation.rs
@@ -45,7 +45,9 @@
     agent::update_agent(node, &[], |agent, members, out| {
         agent.set_evacuated(evacuated, members, now, out);
     });
-    agent::report_change(node, before, now);
+    if agent::report_change(node, before, now) {
+        return;
+    }
     // Nodes that cannot reach the store learn of the change from these reports.
     let local_role = node.settings.role();
     node.send_report_to(|member| local_role == Role::Balancer || member.report.role == Role::Balancer);
