--- a/crates/dogwoodpitch/tests/steering/warm_up.rs
+++ b/crates/dogwoodpitch/tests/steering/warm_up.rs
@@ -94,10 +94,11 @@
 }
 
 /// A limit that counts per second lets twice as many pass around the border of two seconds; one that rounds a rate down
-/// leaves a backend server of a low rate without any request.
+/// leaves a backend server of a low rate without any request; a rate whose span is longer than the clock counts must neither
+/// end the process nor let all in.
 #[test]
 fn the_limit_holds_in_every_second_and_is_used() {
-    for rate in [0.4, 1.0, 1.5, 6.0, 6.5, 40.0] {
+    for rate in [f64::MIN_POSITIVE, 1e-30, 1e-19, 0.4, 1.0, 1.5, 6.0, 6.5, 40.0] {
         let start = Instant::now();
         let mut limit = Limit::new(start);
         limit.mark_first_process();
@@ -257,10 +258,21 @@
     };
     let mut mixed = peer(true, start);
     mixed.record_report(C, agent_report(2, 1, Stance::Restarting), start);
+    // Another cold one, which has not been tried: with room, and as busy as it can be while it is cold.
+    let several = |busy| {
+        let mut report = agent_report(2, 1, Stance::Open);
+        report.load.cold = true;
+        report.load.busy = busy;
+        let mut peers = peer(true, start);
+        peers.record_report(C, report, start);
+        peers
+    };
     for (peers, copy, expected) in [
         (peer(true, start), 0, true),
         (peer(true, start), 1, false),
         (mixed, 0, false),
+        (several(0), 0, false),
+        (several(7), 0, true),
     ] {
         let mut agent = cold_agent(A, Some(RATE), start);
         let outs: Vec<_> = (0..40)
