overflow: no plan while more agents join than are open

Cause: pools count open agents only. When all agents start at the same time, the balancers of data centres whose agents are still joining took themselves for cut off and sent every flow to the data centre whose agent opened first. The scope there left out their own joining agents, against the rule of the balancer that the first to open must not get the load of all.

Change: pools() leaves out a service with more joining than open agents, the same condition as in handle_syn. Its plan ends and the penalty rule applies, to joining agents too.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -168,7 +168,8 @@
     }
 }
 
-/// Sums the loads of all open agents by service and data centre. Agents that have not reported recently have no room.
+/// Sums the loads of all open agents by service and data centre. Agents that have not reported recently have no room. A
+/// service with more joining than open agents is left out: balancers place its flows on both.
 pub fn pools(members: &Members, routes: &Table, now: Instant) -> BTreeMap<Bytes, Pools> {
     let mut services: BTreeMap<&Bytes, Vec<&Member>> = BTreeMap::new();
     for member in members
@@ -177,8 +178,16 @@
     {
         services.entry(&member.report.service).or_default().push(member);
     }
+    let mut joining: BTreeMap<&Bytes, usize> = BTreeMap::new();
+    for member in members.iter() {
+        let service = &member.report.service;
+        if member.is_joining(service, now) {
+            *joining.entry(service).or_default() += 1;
+        }
+    }
     services
         .into_iter()
+        .filter(|(service, open)| joining.get(service).is_none_or(|joining| *joining <= open.len()))
         .map(|(service, members)| (service.clone(), sum(&members, routes, now)))
         .collect()
 }
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -300,6 +300,37 @@
     assert_eq!(scope, Scope::Near);
 }
 
+/// Agents that join must not be passed over for the few that opened first when all start at the same time.
+#[test]
+fn a_mass_start_ends_the_plan() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("north".into());
+    overflow.mode = Mode::Adaptive;
+    for (open_count, scope) in [(3, Scope::Local), (2, Scope::Near), (1, Scope::Near)] {
+        let mut members = Members::default();
+        for last in 1..=6 {
+            let (data_centre, stance) = if last <= open_count {
+                ("east", Stance::Open)
+            } else {
+                ("north", Stance::Joining)
+            };
+            let report = Report {
+                data_centre: data_centre.into(),
+                ..agent_report(last.into(), 1, stance)
+            };
+            members.record_report(Ipv4Addr::new(10, 1, 0, last), report, now);
+        }
+        overflow.plan(overflow::pools(&members, &Table::default(), now), now);
+        let (chosen, data_centre) = overflow.direct(&SERVICE_NAME.into(), flow(1), now);
+        let expected = if scope == Scope::Local { "east" } else { "north" };
+        assert_eq!(
+            (chosen, &data_centre[..]),
+            (scope, expected.as_bytes()),
+            "{open_count} open"
+        );
+    }
+}
+
 /// Each balancer must send its share by the flow's hash, so that copies of a SYN go the same way, and the share must be
 /// followed. A plan that is not renewed must not be.
 #[test]
