overflow: data centres with less work than a part give none

Cause: the levelling takes parts of 2% of the own demand. A tiny full data centre with less work than that got negative work; its cost became NaN, which total_cmp takes for the largest, so it stayed the source and nothing else was levelled.

Change: only pools with at least a part of work are a source.

Result: a_pool_of_less_work_than_a_part_is_left_alone failed before (shares for two data centres) and passes.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -359,7 +359,9 @@
         let mut costs: Vec<_> = pools.iter().map(|(_, pool)| pool.marginal_cost()).collect();
         for _ in 0..MAX_MOVES {
             let order = |a: &usize, b: &usize| costs[*a].total_cmp(&costs[*b]);
-            let Some(from) = (0..pools.len()).max_by(order) else {
+            // The work of a pool must not become negative.
+            let has_part = |index: &usize| pools[*index].1.work >= part;
+            let Some(from) = (0..pools.len()).filter(has_part).max_by(order) else {
                 break;
             };
             let has_room = |index: &usize| {
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -331,6 +331,18 @@
     }
 }
 
+/// A tiny data centre that is full must not break the levelling of the others.
+#[test]
+fn a_pool_of_less_work_than_a_part_is_left_alone() {
+    let mut overflow = Overflow::new("east".into());
+    let pools = pools([(28.0, 0.0), (0.4, 0.0), (26.0, 0.0)], [26.0, 0.35, 8.0], 300 * MS);
+    overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), Instant::now());
+    // Half of the planned share is reached in one interval.
+    let shares = &overflow.plans().next().unwrap().1.shares;
+    assert_eq!(shares.len(), 1, "{shares:?}");
+    assert!((shares["west".as_bytes()] - 0.13).abs() < 0.021, "{shares:?}");
+}
+
 /// Each balancer must send its share by the flow's hash, so that copies of a SYN go the same way, and the share must be
 /// followed. A plan that is not renewed must not be.
 #[test]
