overflow: keep the known demand while nearly all flows leave

Cause: after a cut-off the first open agent has no work, so the demand was taken as 0 / 0.1 = 0 and the share fell by 0.15 in each interval whatever capacity was back. After a short cut-off the smoothed share that the reports reflect was also too low: agents that have just started do not smooth their load.

Change: the demand stays as it is while the reflected share is 0.9 or more, and the reflected share is not smoothed while no own agent is open. A balancer that has never seen the demand estimates it as before.

Result: a_staggered_return_gets_what_it_can_bear (cut-offs of 0.8 and 3 s, 2 of 28 slots back first, 2 more each second) failed before and passes: the offered work never exceeds the capacity that is back.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -57,7 +57,7 @@
 const MIN_SHARE: f64 = 0.02;
 /// Smallest planned share with which an overflow starts. Less does not stand out from the noise of the loads.
 const MIN_START: f64 = 0.06;
-/// Largest share that reports are taken to reflect. The demand cannot be derived from nothing.
+/// Share from which the reported work does not tell the demand, because too little of it is left.
 const MAX_SEEN: f64 = 0.9;
 /// Change of the share that is logged.
 const LOGGED_CHANGE: f64 = 0.25;
@@ -303,8 +303,11 @@
         let planned = match self.pools.get(own) {
             _ if self.lasting => BTreeMap::new(),
             Some(pool) => {
-                let seen = self.seen.values().sum::<f64>().min(MAX_SEEN);
-                self.demand = pool.work.min(MAX_KNOWN * pool.capacity) / (1.0 - seen);
+                let seen = self.seen.values().sum::<f64>();
+                if seen < MAX_SEEN || self.demand <= 0.0 {
+                    let known = pool.work.min(MAX_KNOWN * pool.capacity);
+                    self.demand = known / (1.0 - seen.min(MAX_SEEN));
+                }
                 self.fill(own)
             }
             None => self.spread(own),
@@ -317,12 +320,16 @@
         }
     }
 
-    /// Brings the shares that the reported loads reflect up to date. Loads are smoothed over reports.
+    /// Brings the shares that the reported loads reflect up to date. Loads are smoothed over reports, but not those of
+    /// agents that have just started, as after a cut-off.
     fn observe(&mut self, own: &Bytes, now: Instant) {
-        let age = self.pools.get(own).map_or(Duration::ZERO, |pool| pool.age);
+        let (age, gain) = match self.pools.get(own) {
+            Some(pool) => (pool.age, BUSY_GAIN),
+            None => (Duration::ZERO, 1.0),
+        };
         let in_force = self.history.iter().rev().find(|(since, _)| *since + age <= now);
         let in_force = in_force.map(|(_, shares)| shares.clone()).unwrap_or_default();
-        blend(&mut self.seen, &in_force, BUSY_GAIN);
+        blend(&mut self.seen, &in_force, gain);
     }
 
     /// Pools as they would be if all flows stayed in their data centre, by the reported work of other data centres.
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -343,6 +343,27 @@
     assert!((shares["west".as_bytes()] - 0.13).abs() < 0.021, "{shares:?}");
 }
 
+/// The first backend servers that are back must not get the flows of all, however long the others take.
+#[test]
+fn a_staggered_return_gets_what_it_can_bear() {
+    fn pattern<const CUT_OFF_MS: u32>(ms: u32) -> [(f64, f64); 3] {
+        let slots = match ms.checked_sub(5_000) {
+            None => 28.0,
+            Some(ms) if ms < CUT_OFF_MS => 0.0,
+            Some(ms) => f64::from(2 + 2 * ((ms - CUT_OFF_MS) / 1_000).min(13)),
+        };
+        [(slots, 16.0), (26.0, 8.0), (26.0, 10.0)]
+    }
+    for (pattern, back_ms) in [(pattern::<800> as Pattern, 5_800), (pattern::<3_000>, 8_000)] {
+        let samples = simulate(pattern, 30_000, 0.02, 1);
+        for ms in (back_ms..30_000).step_by(50) {
+            let (sample, slots) = (at(&samples, ms), pattern(ms)[0].0);
+            assert!(sample.offered[0] <= slots, "{ms} ms, {slots} slots: {sample:?}");
+        }
+        assert!(at(&samples, 29_000).shares[0] < 0.02, "{:?}", at(&samples, 29_000));
+    }
+}
+
 /// Each balancer must send its share by the flow's hash, so that copies of a SYN go the same way, and the share must be
 /// followed. A plan that is not renewed must not be.
 #[test]
