overflow: no plan on reports that wait in the socket

Cause: after a pause of the process the plan may run before the deadlines of the agents are extended. All agents then looked silent, and the balancer took its data centre for cut off: all flows left, and came back in steps of 0.15.

Change: a plan that comes more than 400 ms after the former one is left out; a pause shorter than that makes no agent suspect. Two plans in a row without an own agent, as the review proposes besides, are not required: a real cut-off would be followed 200 ms later, and all_flows_leave_a_data_centre_without_backend_servers asks for 250 ms.

Result: a_pause_of_the_process_is_no_cut_off failed before and passes.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -28,6 +28,8 @@
 
 /// Interval of plans: that of the agents' reports.
 pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Time between plans above which the process has stood still. Reports have then not been read, so agents may look silent.
+const MAX_GAP: Duration = Duration::from_millis(400);
 /// Time after which a plan is no longer followed, because the process has stood still.
 const PLAN_TTL: Duration = Duration::from_secs(1);
 /// Time that a flow needs in addition in another data centre: a round trip to open it and one for the request. Nodes do
@@ -124,6 +126,7 @@
     /// Mode in force.
     pub mode: Mode,
     plans: BTreeMap<Bytes, Plan>,
+    planned_at: Option<Instant>,
 }
 
 impl Pool {
@@ -224,6 +227,7 @@
             data_centre,
             mode: Mode::default(),
             plans: BTreeMap::new(),
+            planned_at: None,
         }
     }
 
@@ -232,8 +236,13 @@
         self.plans.iter()
     }
 
-    /// Plans the shares of all services from their pools. Returns the services whose share has changed notably.
+    /// Plans the shares of all services from their pools, or leaves them as they are after a pause of this process. Returns
+    /// the services whose share has changed notably.
     pub fn plan(&mut self, services: BTreeMap<Bytes, Pools>, now: Instant) -> Vec<Bytes> {
+        let planned_at = self.planned_at.replace(now);
+        if planned_at.is_some_and(|at| now.saturating_duration_since(at) > MAX_GAP) {
+            return Vec::new();
+        }
         self.plans.retain(|service, _| services.contains_key(service));
         let mut changed = Vec::new();
         for (service, pools) in services {
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -364,6 +364,22 @@
     }
 }
 
+/// The silence of all agents during a pause of the balancer's process must not end or replace the plan.
+#[test]
+fn a_pause_of_the_process_is_no_cut_off() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("east".into());
+    let shares = |overflow: &Overflow| overflow.plans().next().map(|(_, plan)| plan.share());
+    let mut plan = |slots, ms: u32| {
+        let pools = pools([(slots, 0.0), (26.0, 0.0), (26.0, 0.0)], [8.0; 3], 300 * MS);
+        overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), now + ms * MS);
+        shares(&overflow).unwrap()
+    };
+    let found = [(28.0, 0), (28.0, 200), (0.0, 1_000), (28.0, 1_200), (0.0, 1_400)].map(|(slots, ms)| plan(slots, ms));
+    assert!(found[..4].iter().all(|share| *share < f64::EPSILON), "{found:?}");
+    assert!(found[4] > 0.99, "{found:?}");
+}
+
 /// Each balancer must send its share by the flow's hash, so that copies of a SYN go the same way, and the share must be
 /// followed. A plan that is not renewed must not be.
 #[test]
