overflow: follow a sudden loss of own capacity at once

Cause: when many agents of a data centre die, the rest got the whole load minus 0.15 in each interval. Lifting that bound alone is not enough: the work of dead agents is no longer reported, so the estimated demand falls with the capacity.

Change: while the own capacity is by more than a third below the largest of the last 8 plans, a larger share is taken at once and the known demand stays.

Result: a_sudden_loss_of_capacity_is_followed_at_once failed before (at 400 ms, 12.7 slots of work for 8) and passes; the patterns of the other tests of the overflow pass unchanged.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -55,6 +55,8 @@
 const GAIN: f64 = 0.5;
 /// Maximum change of the share in one interval.
 const MAX_STEP: f64 = 0.15;
+/// Fall of the own capacity, relative to the largest remembered one, above which the share follows without damping.
+const SUDDEN_LOSS: f64 = 1.0 / 3.0;
 /// Smallest share.
 const MIN_SHARE: f64 = 0.02;
 /// Smallest planned share with which an overflow starts. Less does not stand out from the noise of the loads.
@@ -111,6 +113,8 @@
     /// Shares that the reported loads reflect.
     seen: BTreeMap<Bytes, f64>,
     history: VecDeque<(Instant, BTreeMap<Bytes, f64>)>,
+    /// Own capacity at the plans in the history.
+    capacities: VecDeque<f64>,
     /// Demand of the own data centre in slots, wherever it is served.
     demand: f64,
     /// Whether flows last so long that moving new ones does not move the load.
@@ -309,11 +313,15 @@
         let total = |value: fn(&Pool) -> f64| self.pools.values().map(value).sum::<f64>();
         self.lasting = total(|pool| pool.idle_work) > 1.0 + total(|pool| pool.work - pool.idle_work);
         self.observe(own, now);
+        let capacity = self.pools.get(own).map_or(0.0, |pool| pool.capacity);
+        let former = self.capacities.iter().copied().fold(0.0, f64::max);
+        let has_lost = capacity < (1.0 - SUDDEN_LOSS) * former;
         let planned = match self.pools.get(own) {
             _ if self.lasting => BTreeMap::new(),
             Some(pool) => {
                 let seen = self.seen.values().sum::<f64>();
-                if seen < MAX_SEEN || self.demand <= 0.0 {
+                // The work of agents that have died is not reported, and what they would have got is not yet.
+                if (seen < MAX_SEEN && !has_lost) || self.demand <= 0.0 {
                     let known = pool.work.min(MAX_KNOWN * pool.capacity);
                     self.demand = known / (1.0 - seen.min(MAX_SEEN));
                 }
@@ -322,11 +330,15 @@
             None => self.spread(own),
         };
         let cut_off = !self.pools.contains_key(own);
-        self.approach(&planned, cut_off);
+        self.approach(&planned, cut_off, has_lost);
         self.history.push_back((now, self.shares.clone()));
         if self.history.len() > HISTORY {
             self.history.pop_front();
         }
+        self.capacities.push_back(capacity);
+        if self.capacities.len() > HISTORY {
+            self.capacities.pop_front();
+        }
     }
 
     /// Brings the shares that the reported loads reflect up to date. Loads are smoothed over reports, but not those of
@@ -431,8 +443,9 @@
         sent
     }
 
-    /// Moves the shares towards the planned ones, or to them at once if the data centre has become unable to serve.
-    fn approach(&mut self, planned: &BTreeMap<Bytes, f64>, cut_off: bool) {
+    /// Moves the shares towards the planned ones, or to them at once if the data centre has become unable to serve or has
+    /// lost much of its capacity.
+    fn approach(&mut self, planned: &BTreeMap<Bytes, f64>, cut_off: bool, has_lost: bool) {
         // What is planned for a data centre that is gone can be sent nowhere.
         let pools = &self.pools;
         self.shares.retain(|data_centre, _| pools.contains_key(data_centre));
@@ -441,6 +454,10 @@
             return;
         }
         let target: f64 = planned.values().sum();
+        if has_lost && target > self.share() {
+            self.shares.clone_from(planned);
+            return;
+        }
         let step = (GAIN * (target - self.share())).abs();
         let gain = if step > MAX_STEP { GAIN * MAX_STEP / step } else { GAIN };
         blend(&mut self.shares, planned, gain);
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -364,6 +364,19 @@
     }
 }
 
+/// The backend servers that are left when many of a data centre die at once must not get the flows of all.
+#[test]
+fn a_sudden_loss_of_capacity_is_followed_at_once() {
+    let pattern: Pattern = |ms| {
+        let slots = if ms < 5_000 { 28.0 } else { 8.0 };
+        [(slots, 18.0), (26.0, 8.0), (26.0, 10.0)]
+    };
+    let samples = simulate(pattern, 20_000, 0.02, 1);
+    for ms in (5_400..20_000).step_by(50) {
+        assert!(at(&samples, ms).offered[0] < 8.0, "{ms} ms: {:?}", at(&samples, ms));
+    }
+}
+
 /// The silence of all agents during a pause of the balancer's process must not end or replace the plan.
 #[test]
 fn a_pause_of_the_process_is_no_cut_off() {
