overflow: look the rate of a service up once per choice

Cause: each candidate of each SYN looked up its service's rate by a string hash, though all are of one service.

Change: the balancer, the agent and the pools look it up once and pass it on. The choices are the same: tests of the overflow.

--- a/crates/dogwoodpitch/src/state/steering/agent/opening.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/opening.rs
@@ -190,10 +190,11 @@
         predicate: impl Fn(&Member) -> bool,
     ) -> Option<Ipv4Addr> {
         let open = members.iter().filter(|member| member.is_open(&self.service, now));
+        let cold_rate = self.routes.cold_rate(&self.service);
         let chosen = placement::choose(
             flow,
             open.filter(|member| predicate(member))
-                .map(|member| Candidate::from_member(member, &self.data_centre, &self.routes)),
+                .map(|member| Candidate::from_member(member, &self.data_centre, cold_rate)),
         );
         chosen.map(|chosen| chosen.ip)
     }
--- a/crates/dogwoodpitch/src/state/steering/balancer.rs
+++ b/crates/dogwoodpitch/src/state/steering/balancer.rs
@@ -119,10 +119,11 @@
         let accepts =
             |member: &&Member| member.is_open(service, now) || (open < joining && member.is_joining(service, now));
         let (scope, data_centre) = self.overflow.direct(service, flow, now);
+        let cold_rate = self.routes.cold_rate(service);
         let mut candidates: Vec<_> = members
             .iter()
             .filter(accepts)
-            .map(|member| Candidate::from_member(member, data_centre, &self.routes))
+            .map(|member| Candidate::from_member(member, data_centre, cold_rate))
             .collect();
         if segment.ack > 0 && candidates.len() > 1 {
             candidates.retain(|candidate| Some(candidate.ip) != previous);
--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -195,15 +195,15 @@
     services
         .into_iter()
         .filter(|(service, open)| joining.get(service).is_none_or(|joining| *joining <= open.len()))
-        .map(|(service, members)| (service.clone(), sum(&members, routes, now)))
+        .map(|(service, members)| (service.clone(), sum(&members, routes.cold_rate(service), now)))
         .collect()
 }
 
-fn sum(members: &[&Member], routes: &Table, now: Instant) -> Pools {
+fn sum(members: &[&Member], cold_rate: Option<f64>, now: Instant) -> Pools {
     let candidate = |member: &&Member| Candidate {
         // The other balancers' placements since the reports are not known.
         pending_placements: 0,
-        ..Candidate::from_member(member, &member.report.data_centre, routes)
+        ..Candidate::from_member(member, &member.report.data_centre, cold_rate)
     };
     let mut candidates: Vec<_> = members.iter().map(candidate).collect();
     placement::estimate_speeds(&mut candidates);
--- a/crates/dogwoodpitch/src/state/steering/placement.rs
+++ b/crates/dogwoodpitch/src/state/steering/placement.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 
-use crate::state::steering::{member::Member, rank, report::Load, route::Table, segment::Flow};
+use crate::state::steering::{member::Member, rank, report::Load, segment::Flow};
 
 /// Expected load of an open flow that is idle, in slots. Clients of the sites' feeds send about one request of 50 ms a
 /// second.
@@ -66,8 +66,8 @@
 }
 
 impl Candidate {
-    /// Candidate for an agent, as seen from `data_centre`.
-    pub fn from_member(member: &Member, data_centre: &Bytes, routes: &Table) -> Self {
+    /// Candidate for an agent, as seen from `data_centre`. `cold_rate` is that of its service.
+    pub fn from_member(member: &Member, data_centre: &Bytes, cold_rate: Option<f64>) -> Self {
         Self {
             ip: member.ip,
             local: member.report.data_centre == *data_centre,
@@ -75,7 +75,7 @@
             busy: member.busy,
             pending_placements: member.pending_placements,
             speed: 1.0,
-            cold_rate: routes.cold_rate(&member.report.service),
+            cold_rate,
         }
     }
 
