overflow: mean service time of measured agents only

Cause: agents without a measured latency entered the mean as 0, so that service times looked shorter and moves dearer.

Change: the sum is divided by the number of agents with a measured latency. only_open_agents_whose_load_follows_count has such an agent now.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -208,17 +208,21 @@
     let mut candidates: Vec<_> = members.iter().map(candidate).collect();
     placement::estimate_speeds(&mut candidates);
     let mut pools = Pools::new();
+    let mut measured: BTreeMap<&Bytes, f64> = BTreeMap::new();
     for (candidate, member) in candidates.iter().zip(members) {
         let pool = pools.entry(member.report.data_centre.clone()).or_default();
         pool.backends += 1.0;
         pool.capacity += candidate.capacity();
         pool.work += candidate.work();
         pool.idle_work += candidate.idle_work();
-        pool.service_ms += f64::from(candidate.load.latency_ms);
+        if candidate.load.latency_ms > 0 {
+            pool.service_ms += f64::from(candidate.load.latency_ms);
+            *measured.entry(&member.report.data_centre).or_default() += 1.0;
+        }
         pool.age += member.age(now);
     }
-    for pool in pools.values_mut() {
-        pool.service_ms /= pool.backends;
+    for (data_centre, pool) in &mut pools {
+        pool.service_ms /= measured.get(data_centre).copied().unwrap_or(1.0);
         pool.age = pool.age.div_f64(pool.backends);
     }
     pools
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -250,7 +250,8 @@
             slots: 2,
             busy,
             flows,
-            latency_ms: 25,
+            // Not measured yet by those without requests.
+            latency_ms: if busy > 0 { 25 } else { 0 },
             ..Load::default()
         };
         let report = Report {
@@ -268,12 +269,15 @@
     add(2, "west", 0, 0, Stance::Open, 800 * MS);
     add(3, "west", 0, 0, Stance::Draining, 100 * MS);
     add(4, "west", 2, 2, Stance::Open, 300 * MS);
+    add(5, "north", 1, 1, Stance::Open, 300 * MS);
+    add(6, "north", 0, 0, Stance::Open, 300 * MS);
     let services = overflow::pools(&members, &Table::default(), now);
     let pools = &services[SERVICE_NAME.as_bytes()];
     assert_eq!(
         (pools["east".as_bytes()].work, pools["west".as_bytes()].work),
         (4.0, 2.0)
     );
+    assert!((pools["north".as_bytes()].service_ms - 25.0).abs() < f64::EPSILON);
     assert_eq!(
         (pools["west".as_bytes()].capacity, pools["west".as_bytes()].age),
         (2.0, 300 * MS)
