overflow: loads that are no longer planned from go to 0

Cause: the gauges of utilisation and expected wait kept the last value when a data centre or service went, or the mode changed.

Change: they are set to 0 like the shares. Plans end at a change of the mode also after a pause of the process. Not covered by a test; the code compiles and the tests of the overflow pass.

--- a/crates/dogwoodpitch/src/coordination/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/overflow.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::steering::node::{Node, State, millis},
-    state::steering::overflow::{self, Mode, Overflow, Plan},
+    state::steering::overflow::{self, Mode, Overflow, Plan, Pool},
     transport::time,
 };
 
@@ -34,24 +34,28 @@
     let services = if enabled {
         overflow::pools(&node.members.borrow(), &node.routes(), now)
     } else {
-        // The last shares end.
         BTreeMap::new()
     };
-    for (service, plan) in overflow.plans().filter(|(service, _)| !services.contains_key(*service)) {
-        for data_centre in plan.shares.keys() {
-            set_share(service, data_centre, 0.0);
-        }
-    }
     let before: BTreeMap<_, _> = overflow
         .plans()
-        .map(|(service, plan)| (service.clone(), plan.shares.clone()))
+        .map(|(service, plan)| (service.clone(), (plan.shares.clone(), plan.pools.clone())))
         .collect();
-    let changed = overflow.plan(services, now);
-    for (service, plan) in overflow.plans() {
-        let ended = before.get(service).into_iter().flat_map(BTreeMap::keys);
-        for data_centre in ended.filter(|data_centre| !plan.shares.contains_key(*data_centre)) {
+    let changed = if enabled {
+        overflow.plan(services, now)
+    } else {
+        overflow.end();
+        Vec::new()
+    };
+    // What has ended is no longer recorded and must not keep its last value.
+    for (service, (shares, pools)) in &before {
+        for data_centre in shares.keys() {
             set_share(service, data_centre, 0.0);
         }
+        for data_centre in pools.keys() {
+            set_load(service, data_centre, &Pool::default());
+        }
+    }
+    for (service, plan) in overflow.plans() {
         record(service, plan);
         if changed.contains(service) {
             log(service, plan);
@@ -64,14 +68,23 @@
         .set(share);
 }
 
+fn set_load(service: &Bytes, data_centre: &Bytes, pool: &Pool) {
+    let labels = [("service", text(service)), ("data_centre", text(data_centre))];
+    let (utilisation, wait) = if pool.capacity > 0.0 {
+        (pool.utilisation(), pool.wait())
+    } else {
+        (0.0, 0.0)
+    };
+    metrics::gauge!("dogwoodpitch_utilisation", &labels).set(utilisation);
+    metrics::gauge!("dogwoodpitch_expected_wait_seconds", &labels).set(wait * pool.service_ms / 1_000.0);
+}
+
 fn record(service: &Bytes, plan: &Plan) {
     for (data_centre, share) in &plan.shares {
         set_share(service, data_centre, *share);
     }
     for (data_centre, pool) in &plan.pools {
-        let labels = [("service", text(service)), ("data_centre", text(data_centre))];
-        metrics::gauge!("dogwoodpitch_utilisation", &labels).set(pool.utilisation());
-        metrics::gauge!("dogwoodpitch_expected_wait_seconds", &labels).set(pool.wait() * pool.service_ms / 1_000.0);
+        set_load(service, data_centre, pool);
     }
 }
 
--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -263,6 +263,12 @@
         changed
     }
 
+    /// Ends all plans.
+    pub fn end(&mut self) {
+        self.plans.clear();
+        self.planned_at = None;
+    }
+
     /// Data centre that gets a new flow, and the scope of its candidates there.
     pub fn direct(&self, service: &Bytes, flow: Flow, now: Instant) -> (Scope, &Bytes) {
         match self.mode {
