overflow: hysteresis for services whose flows last

Cause: a service near the bound on idle flows changed between the plan and the penalty rule with the noise of its reports.

Change: it stays one whose flows last until idle flows bring less than three quarters of the bound. lasting_flows_are_told_with_hysteresis covers it.

--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -63,6 +63,8 @@
 const MIN_START: f64 = 0.06;
 /// Share from which the reported work does not tell the demand, because too little of it is left.
 const MAX_SEEN: f64 = 0.9;
+/// Factor of the bound on the idle work up to which a service whose flows last stays one.
+const LASTING_END: f64 = 0.75;
 /// Change of the share that is logged.
 const LOGGED_CHANGE: f64 = 0.25;
 /// Number of former shares that are remembered: reports are at most this number of intervals old.
@@ -321,7 +323,9 @@
         self.pools = pools;
         self.valid_until = Some(now + PLAN_TTL);
         let total = |value: fn(&Pool) -> f64| self.pools.values().map(value).sum::<f64>();
-        self.lasting = total(|pool| pool.idle_work) > 1.0 + total(|pool| pool.work - pool.idle_work);
+        let bound = 1.0 + total(|pool| pool.work - pool.idle_work);
+        let factor = if self.lasting { LASTING_END } else { 1.0 };
+        self.lasting = total(|pool| pool.idle_work) > factor * bound;
         self.observe(own, now);
         let capacity = self.pools.get(own).map_or(0.0, |pool| pool.capacity);
         let former = self.capacities.iter().copied().fold(0.0, f64::max);
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -335,6 +335,33 @@
     }
 }
 
+/// A service near the bound on idle flows must not change its rule with each plan.
+#[test]
+fn lasting_flows_are_told_with_hysteresis() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("east".into());
+    overflow.mode = Mode::Adaptive;
+    for (idle_work, scope) in [
+        (5.5, Scope::Local),
+        (6.5, Scope::Near),
+        (5.5, Scope::Near),
+        (4.0, Scope::Local),
+    ] {
+        let mut pools = pools(
+            [(28.0, 0.0), (0.0, 0.0), (0.0, 0.0)],
+            [5.0 + idle_work, 0.0, 0.0],
+            300 * MS,
+        );
+        pools.get_mut("east".as_bytes()).unwrap().idle_work = idle_work;
+        overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), now);
+        assert_eq!(
+            overflow.direct(&SERVICE_NAME.into(), flow(1), now).0,
+            scope,
+            "{idle_work}"
+        );
+    }
+}
+
 /// A tiny data centre that is full must not break the levelling of the others.
 #[test]
 fn a_pool_of_less_work_than_a_part_is_left_alone() {
