overflow: same choice also for cold, slow and failing servers

Change: the candidates of modes_choose_among_the_candidates_that_they_allow are cold, slow and failing at random, and the reference has its own copy of the former estimate of speeds, also for the least load.

--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -470,12 +470,33 @@
     }
 }
 
+/// Capacity and relative load of a candidate by the former build's estimate of speeds.
+fn former_load(candidate: &Candidate, candidates: &[Candidate]) -> (f64, f64) {
+    let mut latencies: Vec<_> = candidates.iter().map(|candidate| candidate.load.latency_ms).collect();
+    latencies.retain(|latency| *latency > 0);
+    latencies.sort_unstable();
+    let median = latencies.get(latencies.len() / 2).copied().map(f64::from);
+    let load = &candidate.load;
+    let latency = f64::from(load.latency_ms);
+    let mut speed: f64 = if load.failed_percent > 15 { 0.1 } else { 1.0 };
+    if let Some(median) = median.filter(|median| latency > median * 1.5) {
+        speed = speed.min(median / latency).max(0.1);
+    }
+    let mut capacity = f64::from(load.slots) * speed.min(if load.cold { 0.5 } else { 1.0 });
+    if let Some(rate) = candidate.cold_rate.filter(|_| load.cold && load.latency_ms > 0) {
+        capacity = capacity.min((rate * latency / 1_000.0).max(0.1));
+    }
+    let idle = load.flows.saturating_sub(load.busy);
+    let work = candidate.busy + 0.5 * f64::from(candidate.pending_placements) + 0.05 * f64::from(idle);
+    (capacity, work / capacity)
+}
+
 /// The choice of the former build: full sort of both samples, with the penalty.
 #[expect(clippy::cast_precision_loss, reason = "as in the former build")]
 fn reference(flow: Flow, candidates: &[Candidate]) -> Option<Ipv4Addr> {
     let key = |candidate: &Candidate| {
         let uniform = (rank::weight(flow, candidate.ip) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -uniform.ln() / f64::from(candidate.load.slots)
+        -uniform.ln() / former_load(candidate, candidates).0
     };
     let (mut local, mut remote): (Vec<_>, Vec<_>) = candidates.iter().partition(|candidate| candidate.local);
     for sorted in [&mut local, &mut remote] {
@@ -483,7 +504,7 @@
     }
     local.truncate(2);
     remote.truncate(3 - local.len());
-    let cost = |candidate: &Candidate| candidate.relative_load() + if candidate.local { 0.0 } else { 0.15 };
+    let cost = |candidate: &Candidate| former_load(candidate, candidates).1 + if candidate.local { 0.0 } else { 0.15 };
     let all = local.into_iter().chain(remote);
     all.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|chosen| chosen.ip)
 }
@@ -502,12 +523,14 @@
                     slots: rng.random_range(1..5),
                     busy: 1,
                     flows: rng.random_range(0..9),
-                    ..Load::default()
+                    latency_ms: rng.random_range(0..5) * 20,
+                    failed_percent: rng.random_range(0..20),
+                    cold: rng.random_bool(0.2),
                 },
                 busy: rng.random_range(0.0..4.0),
                 pending_placements: rng.random_range(0..3),
                 speed: 1.0,
-                cold_rate: None,
+                cold_rate: rng.random_bool(0.5).then_some(20.0),
             })
             .collect();
         let chosen = |scope| placement::choose_in(flow(number), candidates.iter().copied(), scope);
@@ -519,7 +542,8 @@
         );
         let any_local = candidates.iter().any(|candidate| candidate.local);
         assert_eq!(chosen(Scope::Local).map(|chosen| chosen.local), near.map(|_| any_local));
-        let least = candidates.iter().map(Candidate::relative_load).min_by(f64::total_cmp);
+        let loads = candidates.iter().map(|candidate| former_load(candidate, &candidates).1);
+        let least = loads.min_by(f64::total_cmp);
         assert_eq!(chosen(Scope::All).map(|chosen| chosen.relative_load()), least);
     }
     assert_eq!(
