--- a/crates/dogwoodpitch/src/state/steering/overflow.rs
+++ b/crates/dogwoodpitch/src/state/steering/overflow.rs
@@ -28,6 +28,8 @@
 
 /// Interval of plans: that of the agents' reports.
 pub const INTERVAL: Duration = Duration::from_millis(200);
+/// Time between plans above which the process has stood still. Reports have then not been read, so agents may look silent.
+const MAX_GAP: Duration = Duration::from_millis(400);
 /// Time after which a plan is no longer followed, because the process has stood still.
 const PLAN_TTL: Duration = Duration::from_secs(1);
 /// Time that a flow needs in addition in another data centre: a round trip to open it and one for the request. Nodes do
@@ -53,12 +55,16 @@
 const GAIN: f64 = 0.5;
 /// Maximum change of the share in one interval.
 const MAX_STEP: f64 = 0.15;
+/// Fall of the own capacity, relative to the largest remembered one, above which the share follows without damping.
+const SUDDEN_LOSS: f64 = 1.0 / 3.0;
 /// Smallest share.
 const MIN_SHARE: f64 = 0.02;
 /// Smallest planned share with which an overflow starts. Less does not stand out from the noise of the loads.
 const MIN_START: f64 = 0.06;
-/// Largest share that reports are taken to reflect. The demand cannot be derived from nothing.
+/// Share from which the reported work does not tell the demand, because too little of it is left.
 const MAX_SEEN: f64 = 0.9;
+/// Factor of the bound on the idle work up to which a service whose flows last stays one.
+const LASTING_END: f64 = 0.75;
 /// Change of the share that is logged.
 const LOGGED_CHANGE: f64 = 0.25;
 /// Number of former shares that are remembered: reports are at most this number of intervals old.
@@ -109,6 +115,8 @@
     /// Shares that the reported loads reflect.
     seen: BTreeMap<Bytes, f64>,
     history: VecDeque<(Instant, BTreeMap<Bytes, f64>)>,
+    /// Own capacity at the plans in the history.
+    capacities: VecDeque<f64>,
     /// Demand of the own data centre in slots, wherever it is served.
     demand: f64,
     /// Whether flows last so long that moving new ones does not move the load.
@@ -124,6 +132,7 @@
     /// Mode in force.
     pub mode: Mode,
     plans: BTreeMap<Bytes, Plan>,
+    planned_at: Option<Instant>,
 }
 
 impl Pool {
@@ -168,7 +177,8 @@
     }
 }
 
-/// Sums the loads of all open agents by service and data centre. Agents that have not reported recently have no room.
+/// Sums the loads of all open agents by service and data centre. Agents that have not reported recently have no room. A
+/// service with more joining than open agents is left out: balancers place its flows on both.
 pub fn pools(members: &Members, routes: &Table, now: Instant) -> BTreeMap<Bytes, Pools> {
     let mut services: BTreeMap<&Bytes, Vec<&Member>> = BTreeMap::new();
     for member in members
@@ -177,32 +187,44 @@
     {
         services.entry(&member.report.service).or_default().push(member);
     }
+    let mut joining: BTreeMap<&Bytes, usize> = BTreeMap::new();
+    for member in members.iter() {
+        let service = &member.report.service;
+        if member.is_joining(service, now) {
+            *joining.entry(service).or_default() += 1;
+        }
+    }
     services
         .into_iter()
-        .map(|(service, members)| (service.clone(), sum(&members, routes, now)))
+        .filter(|(service, open)| joining.get(service).is_none_or(|joining| *joining <= open.len()))
+        .map(|(service, members)| (service.clone(), sum(&members, routes.cold_rate(service), now)))
         .collect()
 }
 
-fn sum(members: &[&Member], routes: &Table, now: Instant) -> Pools {
+fn sum(members: &[&Member], cold_rate: Option<f64>, now: Instant) -> Pools {
     let candidate = |member: &&Member| Candidate {
         // The other balancers' placements since the reports are not known.
         pending_placements: 0,
-        ..Candidate::from_member(member, &member.report.data_centre, routes)
+        ..Candidate::from_member(member, &member.report.data_centre, cold_rate)
     };
     let mut candidates: Vec<_> = members.iter().map(candidate).collect();
     placement::estimate_speeds(&mut candidates);
     let mut pools = Pools::new();
+    let mut measured: BTreeMap<&Bytes, f64> = BTreeMap::new();
     for (candidate, member) in candidates.iter().zip(members) {
         let pool = pools.entry(member.report.data_centre.clone()).or_default();
         pool.backends += 1.0;
         pool.capacity += candidate.capacity();
         pool.work += candidate.work();
         pool.idle_work += candidate.idle_work();
-        pool.service_ms += f64::from(candidate.load.latency_ms);
+        if candidate.load.latency_ms > 0 {
+            pool.service_ms += f64::from(candidate.load.latency_ms);
+            *measured.entry(&member.report.data_centre).or_default() += 1.0;
+        }
         pool.age += member.age(now);
     }
-    for pool in pools.values_mut() {
-        pool.service_ms /= pool.backends;
+    for (data_centre, pool) in &mut pools {
+        pool.service_ms /= measured.get(data_centre).copied().unwrap_or(1.0);
         pool.age = pool.age.div_f64(pool.backends);
     }
     pools
@@ -215,6 +237,7 @@
             data_centre,
             mode: Mode::default(),
             plans: BTreeMap::new(),
+            planned_at: None,
         }
     }
 
@@ -223,8 +246,13 @@
         self.plans.iter()
     }
 
-    /// Plans the shares of all services from their pools. Returns the services whose share has changed notably.
+    /// Plans the shares of all services from their pools, or leaves them as they are after a pause of this process. Returns
+    /// the services whose share has changed notably.
     pub fn plan(&mut self, services: BTreeMap<Bytes, Pools>, now: Instant) -> Vec<Bytes> {
+        let planned_at = self.planned_at.replace(now);
+        if planned_at.is_some_and(|at| now.saturating_duration_since(at) > MAX_GAP) {
+            return Vec::new();
+        }
         self.plans.retain(|service, _| services.contains_key(service));
         let mut changed = Vec::new();
         for (service, pools) in services {
@@ -237,6 +265,12 @@
         changed
     }
 
+    /// Ends all plans.
+    pub fn end(&mut self) {
+        self.plans.clear();
+        self.planned_at = None;
+    }
+
     /// Data centre that gets a new flow, and the scope of its candidates there.
     pub fn direct(&self, service: &Bytes, flow: Flow, now: Instant) -> (Scope, &Bytes) {
         match self.mode {
@@ -289,31 +323,48 @@
         self.pools = pools;
         self.valid_until = Some(now + PLAN_TTL);
         let total = |value: fn(&Pool) -> f64| self.pools.values().map(value).sum::<f64>();
-        self.lasting = total(|pool| pool.idle_work) > 1.0 + total(|pool| pool.work - pool.idle_work);
+        let bound = 1.0 + total(|pool| pool.work - pool.idle_work);
+        let factor = if self.lasting { LASTING_END } else { 1.0 };
+        self.lasting = total(|pool| pool.idle_work) > factor * bound;
         self.observe(own, now);
+        let capacity = self.pools.get(own).map_or(0.0, |pool| pool.capacity);
+        let former = self.capacities.iter().copied().fold(0.0, f64::max);
+        let has_lost = capacity < (1.0 - SUDDEN_LOSS) * former;
         let planned = match self.pools.get(own) {
             _ if self.lasting => BTreeMap::new(),
             Some(pool) => {
-                let seen = self.seen.values().sum::<f64>().min(MAX_SEEN);
-                self.demand = pool.work.min(MAX_KNOWN * pool.capacity) / (1.0 - seen);
+                let seen = self.seen.values().sum::<f64>();
+                // The work of agents that have died is not reported, and what they would have got is not yet.
+                if (seen < MAX_SEEN && !has_lost) || self.demand <= 0.0 {
+                    let known = pool.work.min(MAX_KNOWN * pool.capacity);
+                    self.demand = known / (1.0 - seen.min(MAX_SEEN));
+                }
                 self.fill(own)
             }
             None => self.spread(own),
         };
         let cut_off = !self.pools.contains_key(own);
-        self.approach(&planned, cut_off);
+        self.approach(&planned, cut_off, has_lost);
         self.history.push_back((now, self.shares.clone()));
         if self.history.len() > HISTORY {
             self.history.pop_front();
         }
+        self.capacities.push_back(capacity);
+        if self.capacities.len() > HISTORY {
+            self.capacities.pop_front();
+        }
     }
 
-    /// Brings the shares that the reported loads reflect up to date. Loads are smoothed over reports.
+    /// Brings the shares that the reported loads reflect up to date. Loads are smoothed over reports, but not those of
+    /// agents that have just started, as after a cut-off.
     fn observe(&mut self, own: &Bytes, now: Instant) {
-        let age = self.pools.get(own).map_or(Duration::ZERO, |pool| pool.age);
+        let (age, gain) = match self.pools.get(own) {
+            Some(pool) => (pool.age, BUSY_GAIN),
+            None => (Duration::ZERO, 1.0),
+        };
         let in_force = self.history.iter().rev().find(|(since, _)| *since + age <= now);
         let in_force = in_force.map(|(_, shares)| shares.clone()).unwrap_or_default();
-        blend(&mut self.seen, &in_force, BUSY_GAIN);
+        blend(&mut self.seen, &in_force, gain);
     }
 
     /// Pools as they would be if all flows stayed in their data centre, by the reported work of other data centres.
@@ -350,7 +401,9 @@
         let mut costs: Vec<_> = pools.iter().map(|(_, pool)| pool.marginal_cost()).collect();
         for _ in 0..MAX_MOVES {
             let order = |a: &usize, b: &usize| costs[*a].total_cmp(&costs[*b]);
-            let Some(from) = (0..pools.len()).max_by(order) else {
+            // The work of a pool must not become negative.
+            let has_part = |index: &usize| pools[*index].1.work >= part;
+            let Some(from) = (0..pools.len()).filter(has_part).max_by(order) else {
                 break;
             };
             let has_room = |index: &usize| {
@@ -404,8 +457,9 @@
         sent
     }
 
-    /// Moves the shares towards the planned ones, or to them at once if the data centre has become unable to serve.
-    fn approach(&mut self, planned: &BTreeMap<Bytes, f64>, cut_off: bool) {
+    /// Moves the shares towards the planned ones, or to them at once if the data centre has become unable to serve or has
+    /// lost much of its capacity.
+    fn approach(&mut self, planned: &BTreeMap<Bytes, f64>, cut_off: bool, has_lost: bool) {
         // What is planned for a data centre that is gone can be sent nowhere.
         let pools = &self.pools;
         self.shares.retain(|data_centre, _| pools.contains_key(data_centre));
@@ -414,6 +468,10 @@
             return;
         }
         let target: f64 = planned.values().sum();
+        if has_lost && target > self.share() {
+            self.shares.clone_from(planned);
+            return;
+        }
         let step = (GAIN * (target - self.share())).abs();
         let gain = if step > MAX_STEP { GAIN * MAX_STEP / step } else { GAIN };
         blend(&mut self.shares, planned, gain);
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -250,7 +250,8 @@
             slots: 2,
             busy,
             flows,
-            latency_ms: 25,
+            // Not measured yet by those without requests.
+            latency_ms: if busy > 0 { 25 } else { 0 },
             ..Load::default()
         };
         let report = Report {
@@ -268,12 +269,15 @@
     add(2, "west", 0, 0, Stance::Open, 800 * MS);
     add(3, "west", 0, 0, Stance::Draining, 100 * MS);
     add(4, "west", 2, 2, Stance::Open, 300 * MS);
+    add(5, "north", 1, 1, Stance::Open, 300 * MS);
+    add(6, "north", 0, 0, Stance::Open, 300 * MS);
     let services = overflow::pools(&members, &Table::default(), now);
     let pools = &services[SERVICE_NAME.as_bytes()];
     assert_eq!(
         (pools["east".as_bytes()].work, pools["west".as_bytes()].work),
         (4.0, 2.0)
     );
+    assert!((pools["north".as_bytes()].service_ms - 25.0).abs() < f64::EPSILON);
     assert_eq!(
         (pools["west".as_bytes()].capacity, pools["west".as_bytes()].age),
         (2.0, 300 * MS)
@@ -300,6 +304,126 @@
     assert_eq!(scope, Scope::Near);
 }
 
+/// Agents that join must not be passed over for the few that opened first when all start at the same time.
+#[test]
+fn a_mass_start_ends_the_plan() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("north".into());
+    overflow.mode = Mode::Adaptive;
+    for (open_count, scope) in [(3, Scope::Local), (2, Scope::Near), (1, Scope::Near)] {
+        let mut members = Members::default();
+        for last in 1..=6 {
+            let (data_centre, stance) = if last <= open_count {
+                ("east", Stance::Open)
+            } else {
+                ("north", Stance::Joining)
+            };
+            let report = Report {
+                data_centre: data_centre.into(),
+                ..agent_report(last.into(), 1, stance)
+            };
+            members.record_report(Ipv4Addr::new(10, 1, 0, last), report, now);
+        }
+        overflow.plan(overflow::pools(&members, &Table::default(), now), now);
+        let (chosen, data_centre) = overflow.direct(&SERVICE_NAME.into(), flow(1), now);
+        let expected = if scope == Scope::Local { "east" } else { "north" };
+        assert_eq!(
+            (chosen, &data_centre[..]),
+            (scope, expected.as_bytes()),
+            "{open_count} open"
+        );
+    }
+}
+
+/// A service near the bound on idle flows must not change its rule with each plan.
+#[test]
+fn lasting_flows_are_told_with_hysteresis() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("east".into());
+    overflow.mode = Mode::Adaptive;
+    for (idle_work, scope) in [
+        (5.5, Scope::Local),
+        (6.5, Scope::Near),
+        (5.5, Scope::Near),
+        (4.0, Scope::Local),
+    ] {
+        let mut pools = pools(
+            [(28.0, 0.0), (0.0, 0.0), (0.0, 0.0)],
+            [5.0 + idle_work, 0.0, 0.0],
+            300 * MS,
+        );
+        pools.get_mut("east".as_bytes()).unwrap().idle_work = idle_work;
+        overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), now);
+        assert_eq!(
+            overflow.direct(&SERVICE_NAME.into(), flow(1), now).0,
+            scope,
+            "{idle_work}"
+        );
+    }
+}
+
+/// A tiny data centre that is full must not break the levelling of the others.
+#[test]
+fn a_pool_of_less_work_than_a_part_is_left_alone() {
+    let mut overflow = Overflow::new("east".into());
+    let pools = pools([(28.0, 0.0), (0.4, 0.0), (26.0, 0.0)], [26.0, 0.35, 8.0], 300 * MS);
+    overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), Instant::now());
+    // Half of the planned share is reached in one interval.
+    let shares = &overflow.plans().next().unwrap().1.shares;
+    assert_eq!(shares.len(), 1, "{shares:?}");
+    assert!((shares["west".as_bytes()] - 0.13).abs() < 0.021, "{shares:?}");
+}
+
+/// The first backend servers that are back must not get the flows of all, however long the others take.
+#[test]
+fn a_staggered_return_gets_what_it_can_bear() {
+    fn pattern<const CUT_OFF_MS: u32>(ms: u32) -> [(f64, f64); 3] {
+        let slots = match ms.checked_sub(5_000) {
+            None => 28.0,
+            Some(ms) if ms < CUT_OFF_MS => 0.0,
+            Some(ms) => f64::from(2 + 2 * ((ms - CUT_OFF_MS) / 1_000).min(13)),
+        };
+        [(slots, 16.0), (26.0, 8.0), (26.0, 10.0)]
+    }
+    for (pattern, back_ms) in [(pattern::<800> as Pattern, 5_800), (pattern::<3_000>, 8_000)] {
+        let samples = simulate(pattern, 30_000, 0.02, 1);
+        for ms in (back_ms..30_000).step_by(50) {
+            let (sample, slots) = (at(&samples, ms), pattern(ms)[0].0);
+            assert!(sample.offered[0] <= slots, "{ms} ms, {slots} slots: {sample:?}");
+        }
+        assert!(at(&samples, 29_000).shares[0] < 0.02, "{:?}", at(&samples, 29_000));
+    }
+}
+
+/// The backend servers that are left when many of a data centre die at once must not get the flows of all.
+#[test]
+fn a_sudden_loss_of_capacity_is_followed_at_once() {
+    let pattern: Pattern = |ms| {
+        let slots = if ms < 5_000 { 28.0 } else { 8.0 };
+        [(slots, 18.0), (26.0, 8.0), (26.0, 10.0)]
+    };
+    let samples = simulate(pattern, 20_000, 0.02, 1);
+    for ms in (5_400..20_000).step_by(50) {
+        assert!(at(&samples, ms).offered[0] < 8.0, "{ms} ms: {:?}", at(&samples, ms));
+    }
+}
+
+/// The silence of all agents during a pause of the balancer's process must not end or replace the plan.
+#[test]
+fn a_pause_of_the_process_is_no_cut_off() {
+    let now = Instant::now();
+    let mut overflow = Overflow::new("east".into());
+    let shares = |overflow: &Overflow| overflow.plans().next().map(|(_, plan)| plan.share());
+    let mut plan = |slots, ms: u32| {
+        let pools = pools([(slots, 0.0), (26.0, 0.0), (26.0, 0.0)], [8.0; 3], 300 * MS);
+        overflow.plan(BTreeMap::from([(SERVICE_NAME.into(), pools)]), now + ms * MS);
+        shares(&overflow).unwrap()
+    };
+    let found = [(28.0, 0), (28.0, 200), (0.0, 1_000), (28.0, 1_200), (0.0, 1_400)].map(|(slots, ms)| plan(slots, ms));
+    assert!(found[..4].iter().all(|share| *share < f64::EPSILON), "{found:?}");
+    assert!(found[4] > 0.99, "{found:?}");
+}
+
 /// Each balancer must send its share by the flow's hash, so that copies of a SYN go the same way, and the share must be
 /// followed. A plan that is not renewed must not be.
 #[test]
@@ -346,12 +470,33 @@
     }
 }
 
+/// Capacity and relative load of a candidate by the former build's estimate of speeds.
+fn former_load(candidate: &Candidate, candidates: &[Candidate]) -> (f64, f64) {
+    let mut latencies: Vec<_> = candidates.iter().map(|candidate| candidate.load.latency_ms).collect();
+    latencies.retain(|latency| *latency > 0);
+    latencies.sort_unstable();
+    let median = latencies.get(latencies.len() / 2).copied().map(f64::from);
+    let load = &candidate.load;
+    let latency = f64::from(load.latency_ms);
+    let mut speed: f64 = if load.failed_percent > 15 { 0.1 } else { 1.0 };
+    if let Some(median) = median.filter(|median| latency > median * 1.5) {
+        speed = speed.min(median / latency).max(0.1);
+    }
+    let mut capacity = f64::from(load.slots) * speed.min(if load.cold { 0.5 } else { 1.0 });
+    if let Some(rate) = candidate.cold_rate.filter(|_| load.cold && load.latency_ms > 0) {
+        capacity = capacity.min((rate * latency / 1_000.0).max(0.1));
+    }
+    let idle = load.flows.saturating_sub(load.busy);
+    let work = candidate.busy + 0.5 * f64::from(candidate.pending_placements) + 0.05 * f64::from(idle);
+    (capacity, work / capacity)
+}
+
 /// The choice of the former build: full sort of both samples, with the penalty.
 #[expect(clippy::cast_precision_loss, reason = "as in the former build")]
 fn reference(flow: Flow, candidates: &[Candidate]) -> Option<Ipv4Addr> {
     let key = |candidate: &Candidate| {
         let uniform = (rank::weight(flow, candidate.ip) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -uniform.ln() / f64::from(candidate.load.slots)
+        -uniform.ln() / former_load(candidate, candidates).0
     };
     let (mut local, mut remote): (Vec<_>, Vec<_>) = candidates.iter().partition(|candidate| candidate.local);
     for sorted in [&mut local, &mut remote] {
@@ -359,7 +504,7 @@
     }
     local.truncate(2);
     remote.truncate(3 - local.len());
-    let cost = |candidate: &Candidate| candidate.relative_load() + if candidate.local { 0.0 } else { 0.15 };
+    let cost = |candidate: &Candidate| former_load(candidate, candidates).1 + if candidate.local { 0.0 } else { 0.15 };
     let all = local.into_iter().chain(remote);
     all.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|chosen| chosen.ip)
 }
@@ -378,12 +523,14 @@
                     slots: rng.random_range(1..5),
                     busy: 1,
                     flows: rng.random_range(0..9),
-                    ..Load::default()
+                    latency_ms: rng.random_range(0..5) * 20,
+                    failed_percent: rng.random_range(0..20),
+                    cold: rng.random_bool(0.2),
                 },
                 busy: rng.random_range(0.0..4.0),
                 pending_placements: rng.random_range(0..3),
                 speed: 1.0,
-                cold_rate: None,
+                cold_rate: rng.random_bool(0.5).then_some(20.0),
             })
             .collect();
         let chosen = |scope| placement::choose_in(flow(number), candidates.iter().copied(), scope);
@@ -395,7 +542,8 @@
         );
         let any_local = candidates.iter().any(|candidate| candidate.local);
         assert_eq!(chosen(Scope::Local).map(|chosen| chosen.local), near.map(|_| any_local));
-        let least = candidates.iter().map(Candidate::relative_load).min_by(f64::total_cmp);
+        let loads = candidates.iter().map(|candidate| former_load(candidate, &candidates).1);
+        let least = loads.min_by(f64::total_cmp);
         assert_eq!(chosen(Scope::All).map(|chosen| chosen.relative_load()), least);
     }
     assert_eq!(
