--- a/crates/dogwoodpitch/src/state/steering/agent/warming.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/warming.rs
@@ -104,7 +104,7 @@
     /// passed the flow on or as loaded as its rate allows.
     fn are_peers_closed_or_cold(&self, hop: Hop, members: &Members, now: Instant) -> bool {
         let is_full = |member: &Member| {
-            let candidate = Candidate::from_member(member, &self.data_centre, &self.routes);
+            let candidate = Candidate::from_member(member, &self.data_centre, self.routes.cold_rate(&self.service));
             member.ip == hop.sender || candidate.relative_load() >= 1.0
         };
         let is_cold = |member: &Member| member.is_open(&self.service, now) && member.report.load.cold;
