--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -8,6 +8,7 @@
 mod node;
 mod overflow;
 mod reload;
+mod ticks;
 
 use std::{
     fmt,
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -16,14 +16,13 @@
 
 use crate::{
     coordination::steering::{
-        Platform, Settings, agent, balancer, config, evacuation, membership, reload, spawn_critical,
+        Platform, Settings, agent, balancer, config, evacuation, membership, spawn_critical, ticks,
     },
     protocol::steer::{self, Header, Kind, Message},
     state::{
         roster::Role,
         steering::{
             agent::{Agent, Identity, Note},
-            audience::Sender,
             balancer::Balancer,
             discovery,
             evacuation::Evacuations,
@@ -37,18 +36,10 @@
         http,
         metric::Recorder,
         signal::{Reload, Termination},
-        time,
         udp::{MAX_DATAGRAM, Socket},
     },
 };
 
-/// Interval of periodic work.
-const TICK: Duration = Duration::from_millis(100);
-/// Ticks between removals of expired entries of a balancer, and between updates of the metrics.
-const EXPIRE_TICKS: u64 = 5;
-/// A tick that is late by more than this means that the process was paused and has not read the reports of others.
-const PAUSE_THRESHOLD: Duration = Duration::from_millis(400);
-
 /// Time without a tick or a packet after which packets may have waited in the sockets for so long that clients have sent
 /// copies of their SYNs, which they do after 200 ms.
 const STALL_THRESHOLD: Duration = Duration::from_millis(180);
@@ -100,7 +91,7 @@
     incarnation: u64,
     reports: Cell<u64>,
     /// Value at the last tick.
-    last_life: Cell<Life>,
+    pub(super) last_life: Cell<Life>,
     /// Time of the last tick or packet.
     active_at: Cell<Instant>,
 }
@@ -121,8 +112,8 @@
         Role::Balancer => spawn_critical("packets", balancer::receive(Rc::clone(&node))),
         Role::Agent => agent::spawn(&node)?,
     }
-    run_ticks(&node).await;
-    shut_down(&node).await;
+    ticks::run(&node).await;
+    ticks::shut_down(&node).await;
     Ok(())
 }
 
@@ -181,7 +172,7 @@
         }
     }
 
-    fn handle_stall(&self, now: Instant) {
+    pub(super) fn handle_stall(&self, now: Instant) {
         if let State::Balancer(balancer) = &mut *self.state.borrow_mut() {
             balancer.handle_stall(now);
         }
@@ -462,106 +453,6 @@
     })
 }
 
-/// Clock of the periodic work, which detects pauses of the process.
-#[derive(Debug)]
-struct Ticker {
-    due_at: Instant,
-    suspended: Duration,
-}
-
-impl Ticker {
-    fn start() -> Self {
-        Self {
-            due_at: Instant::now(),
-            suspended: time::suspended(),
-        }
-    }
-
-    /// Waits for the next tick and returns its time. After a pause, the silence of other nodes says nothing, and the local
-    /// node has missed their reports.
-    async fn wait(&mut self, node: &Rc<Node>) -> Instant {
-        self.due_at += TICK;
-        time::sleep_until(self.due_at).await;
-        let now = Instant::now();
-        let suspended_before = std::mem::replace(&mut self.suspended, time::suspended());
-        let paused = now - self.due_at + self.suspended.saturating_sub(suspended_before);
-        if paused > PAUSE_THRESHOLD {
-            log::warn!(event = "node.stalled", ms = millis(paused); "the process was paused");
-            node.members.borrow_mut().extend_deadlines(now);
-            node.handle_stall(now);
-            agent::update_agent(node, &[], |agent, _, _| agent.handle_pause(now));
-            self.due_at = now;
-        }
-        now
-    }
-}
-
-async fn run_ticks(node: &Rc<Node>) {
-    let mut ticker = Ticker::start();
-    let mut ticks = 0_u64;
-    while !node.termination.is_requested() {
-        let now = ticker.wait(node).await;
-        ticks += 1;
-        tick(node, ticks, now);
-        reload::reload_if_due(node, ticks);
-    }
-}
-
-/// Does the periodic work of one tick.
-fn tick(node: &Rc<Node>, ticks: u64, now: Instant) {
-    node.detect_stall(now);
-    let gone = node.members.borrow_mut().expire(now);
-    for ip in &gone {
-        log::info!(event = "member.gone", node:% = ip; "silent or leaving node removed");
-    }
-    agent::update_agent(node, &[], |agent, members, out| {
-        agent.remove_nodes(&gone);
-        agent.tick(members, now, out);
-    });
-    if ticks.is_multiple_of(EXPIRE_TICKS) {
-        if let State::Balancer(balancer) = &mut *node.state.borrow_mut() {
-            balancer.expire(now);
-        }
-        if let Some(age) = node.config.freshness().age(now) {
-            metrics::gauge!("dogwoodpitch_config_age_seconds").set(age.as_secs_f64());
-        }
-    }
-    let life = node.life(now);
-    // The change was already reported immediately. This repeats the report in case it was lost.
-    let changed = node.last_life.replace(life) != life;
-    let sender = Sender {
-        role: node.settings.role(),
-        data_centre: node.settings.data_centre.clone(),
-    };
-    node.send_report_to(|member| changed || sender.is_due(&member.report, ticks));
-    node.flush();
-}
-
-/// Stops without cutting flows: an agent diverts new flows to its peers, and a balancer keeps forwarding until the
-/// clients' packets take another way.
-async fn shut_down(node: &Rc<Node>) {
-    let stop_at = Instant::now() + node.live_settings.borrow().stop_timeout();
-    log::info!(event = "node.stopping"; "stop requested");
-    if let State::Agent(agent) = &mut *node.state.borrow_mut() {
-        agent.stop();
-    }
-    let mut ticker = Ticker::start();
-    let mut now = Instant::now();
-    let mut ticks = 0;
-    loop {
-        ticks += 1;
-        tick(node, ticks, now);
-        let done = now >= stop_at || agent::may_stop(node, ticks);
-        if done {
-            break;
-        }
-        now = ticker.wait(node).await;
-    }
-    node.send_report_to(|_member| true);
-    membership::withdraw(node).await;
-    log::info!(event = "node.stopped"; "node stopped");
-}
-
 fn unix_ms() -> u64 {
     millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
