--- a/crates/dogwoodpitch/src/state/steering/agent/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -13,6 +13,8 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+
 pub use self::effect::{Effect, Hop, Note};
 use self::{
     effect::{Origin, log, reset, send_note},
@@ -34,7 +36,6 @@
     table::{Entry, POINTER_MIN_AGE, State, Table},
     warm_up::Limit,
 };
-use bytes::Bytes;
 
 /// Maximum number of times that a packet is forwarded from agent to agent.
 const MAX_HOPS: u8 = 3;
--- a/crates/dogwoodpitch/tests/steering/overflow.rs
+++ b/crates/dogwoodpitch/tests/steering/overflow.rs
@@ -282,7 +282,7 @@
         (pools["west".as_bytes()].capacity, pools["west".as_bytes()].age),
         (2.0, 300 * MS)
     );
-    let mut overflow = Overflow::new("east".into());
+    let mut overflow = Overflow::new("north".into());
     overflow.mode = Mode::Adaptive;
     overflow.plan(services, now);
     let service = Bytes::from(SERVICE_NAME);
@@ -304,6 +304,38 @@
     assert_eq!(scope, Scope::Near);
 }
 
+/// In a burst of three times the demand of one data centre, the plan found no lasting room in the others. Its flows queued
+/// in their data centre while backend servers elsewhere were free for moments.
+#[test]
+fn flows_of_a_busy_data_centre_that_stay_are_compared_with_a_remote_one() {
+    let now = Instant::now();
+    let service = Bytes::from(SERVICE_NAME);
+    for (work, expected) in [
+        (6.0, Scope::Local),
+        (16.0, Scope::Local),
+        (23.0, Scope::Near),
+        (900.0, Scope::Near),
+    ] {
+        let pool = |work: f64| Pool {
+            backends: 12.0,
+            capacity: 24.0,
+            work,
+            service_ms: 24.0,
+            ..Pool::default()
+        };
+        let pools = Pools::from([("east".into(), pool(work)), ("west".into(), pool(22.0))]);
+        let mut overflow = Overflow::new("east".into());
+        overflow.mode = Mode::Adaptive;
+        overflow.plan([(service.clone(), pools)].into(), now);
+        let staying = (1..=100)
+            .map(|port| overflow.direct(&service, flow(port), now))
+            .filter(|(_, data_centre)| *data_centre == "east");
+        let scopes: Vec<_> = staying.map(|(scope, _)| scope).collect();
+        assert!(scopes.len() > 50, "{work}");
+        assert!(scopes.iter().all(|scope| *scope == expected), "{work}: {scopes:?}");
+    }
+}
+
 /// Agents that join must not be passed over for the few that opened first when all start at the same time.
 #[test]
 fn a_mass_start_ends_the_plan() {
