Review case 6: show it by planned work alone, too

Claim: where the former service has one host, a restart of the process beside it resets all of its open flows after the route has been led to another service.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -303,19 +303,21 @@
     Ok(world.judge_flows(0.0))
 }
 
-/// The operator lets a route lead to another service, and later all agents are killed at once.
+/// The operator lets a route lead to another service, and later all agents are killed at once. For comparison, MOVE=0 leaves
+/// the route where it is. With VARIANT=roll there is planned work only: the former service has one host, and the process
+/// beside it is stopped and started.
 fn moved_route(trouble: bool, net: Net, record: &Record) -> Outcome {
+    let is_roll = std::env::var("VARIANT").is_ok_and(|value| value == "roll");
+    let is_moved = std::env::var("MOVE").map_or(true, |value| value != "0");
     let mut world = World::open(net, record)?;
     let (feed, photos) = (world.target(8_443), world.target(8_444));
     let routes = |service| vec![route("r-feed", feed, service), route("r-photo", photos, DESK), route("r-board", world.target(8_080), BOARD)];
-    // For comparison, MOVE=0 leaves the route where it is.
-    let moved = std::env::var("MOVE").map_or(true, |value| value != "0");
-    let (before, after) = (routes(BOARD), routes(if moved { DESK } else { BOARD }));
+    let (before, after) = (routes(BOARD), routes(if is_moved { DESK } else { BOARD }));
     world.store.configure(7, before, &[BOARD, DESK]);
     for number in 1..=2 {
         world.add_balancer(number)?;
     }
-    for number in 1..=3 {
+    for number in 1..=if is_roll { 1 } else { 3 } {
         world.add_host(number, BOARD)?;
     }
     for number in 4..=6 {
@@ -331,18 +333,22 @@
     world.wait_until(16.0);
     world.client.request_within(Duration::from_secs(1));
     world.wait_until(18.0);
-    if trouble {
+    if trouble && is_roll {
+        record.say("planned work: the process beside the host of order-board is stopped, and started again after a short delay");
+        let agent = world.programs.values().find(|program| program.ip == net.ip(2, 1));
+        agent.ok_or("there is no agent")?.signal(Signal::SIGTERM);
+    } else if trouble {
         record.say("disruption: the processes beside all hosts are killed, and started again after a short delay");
         for program in world.programs.values().filter(|program| program.ip.octets()[2] == 2) {
             program.signal(Signal::SIGKILL);
         }
     }
-    let killed_at = record.seconds();
+    let struck_at = record.seconds();
     // All machines are in touch again 4 s after the start of the processes.
     world.wait_until(24.0);
     world.client.request_within(Duration::from_secs(2));
     world.wait_until(29.5);
-    Ok(world.judge_flows(killed_at + 4.5))
+    Ok(world.judge_flows(struck_at + 4.5))
 }
 
 /// The settings files change: the store has another address.
