Review case 6: planned work alone resets flows of a route that moved

Claim: after a selector change, a restart of the processes beside the hosts in turn resets open flows of living hosts (FLOW, planned work). The kill of all at once is now VARIANT=kill.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -303,11 +303,10 @@
     Ok(world.judge_flows(0.0))
 }
 
-/// The operator lets a route lead to another service, and later all agents are killed at once. For comparison, MOVE=0 leaves
-/// the route where it is. With VARIANT=roll there is planned work only: the former service has one host, and the process
-/// beside it is stopped and started.
+/// The operator lets a route lead to another service, and later the processes beside the hosts are stopped and started in
+/// turn. For comparison, MOVE=0 leaves the route where it is. With VARIANT=kill, all of them are killed at once instead.
 fn moved_route(trouble: bool, net: Net, record: &Record) -> Outcome {
-    let is_roll = std::env::var("VARIANT").is_ok_and(|value| value == "roll");
+    let is_kill = std::env::var("VARIANT").is_ok_and(|value| value == "kill");
     let is_moved = std::env::var("MOVE").map_or(true, |value| value != "0");
     let mut world = World::open(net, record)?;
     let (feed, photos) = (world.target(8_443), world.target(8_444));
@@ -317,7 +316,7 @@
     for number in 1..=2 {
         world.add_balancer(number)?;
     }
-    for number in 1..=if is_roll { 1 } else { 3 } {
+    for number in 1..=3 {
         world.add_host(number, BOARD)?;
     }
     for number in 4..=6 {
@@ -325,30 +324,44 @@
     }
     world.wait_for_rotation(2, Duration::from_secs(10))?;
     world.wait_until(3.0);
-    world.open_flows(40, feed)?;
-    world.wait_until(8.0);
-    world.client.request_within(Duration::from_secs(1));
+    world.open_flows(if is_kill { 40 } else { 240 }, feed)?;
     world.wait_until(11.0);
+    world.client.request_within(Duration::from_secs(1));
+    world.wait_until(13.0);
     world.store.configure(9, after, &[BOARD, DESK]);
-    world.wait_until(16.0);
+    world.wait_until(17.0);
     world.client.request_within(Duration::from_secs(1));
-    world.wait_until(18.0);
-    if trouble && is_roll {
-        record.say("planned work: the process beside the host of order-board is stopped, and started again after a short delay");
-        let agent = world.programs.values().find(|program| program.ip == net.ip(2, 1));
-        agent.ok_or("there is no agent")?.signal(Signal::SIGTERM);
-    } else if trouble {
-        record.say("disruption: the processes beside all hosts are killed, and started again after a short delay");
-        for program in world.programs.values().filter(|program| program.ip.octets()[2] == 2) {
-            program.signal(Signal::SIGKILL);
+    world.wait_until(20.0);
+    let struck_at = record.seconds();
+    let agents = world.programs.values().filter(|program| program.ip.octets()[2] == 2);
+    if is_kill {
+        if trouble {
+            record.say("disruption: the processes beside all hosts are killed, and started again after a short delay");
+            agents.for_each(|program| program.signal(Signal::SIGKILL));
         }
+        // All machines are in touch again 4 s after the start of the processes.
+        world.wait_until(26.0);
+        world.client.request_within(Duration::from_secs(2));
+        world.wait_until(31.5);
+        return Ok(world.judge_flows(struck_at + 4.5));
     }
-    let struck_at = record.seconds();
-    // All machines are in touch again 4 s after the start of the processes.
-    world.wait_until(24.0);
-    world.client.request_within(Duration::from_secs(2));
-    world.wait_until(29.5);
-    Ok(world.judge_flows(struck_at + 4.5))
+    if trouble {
+        record.say("planned work: the processes beside the hosts are stopped and started in turn");
+    }
+    for (step, program) in (0..).zip(agents) {
+        let at = 20.0 + 1.6 * f64::from(step);
+        world.wait_until(at);
+        if trouble {
+            program.signal(Signal::SIGTERM);
+        }
+        world.client.request_within(Duration::from_millis(1_500));
+    }
+    for second in [30.0, 32.0] {
+        world.wait_until(second);
+        world.client.request_within(Duration::from_millis(1_500));
+    }
+    world.wait_until(36.0);
+    Ok(world.judge_flows(0.0))
 }
 
 /// The settings files change: the store has another address.
