--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -282,7 +282,8 @@
     Ok(world.judge_flows(75.1))
 }
 
-/// The settings files change again and again while clients send many requests.
+/// The settings files change ten times a second while clients send many requests. No case, as the pages name no such rate: it
+/// shows where the EINTR of the entry `invariants_hold_with_regression_seed_2008` in KNOWN-RED.txt comes from.
 fn settings_change(trouble: bool, net: Net, record: &Record) -> Outcome {
     let mut world = World::open(net, record)?;
     let target = world.target(8_443);
@@ -302,8 +303,8 @@
     let answers = || world.client.flows().iter().map(|(_, flow)| flow.answers).sum::<u32>();
     let started_at = answers();
     let mut signals = 0;
-    for round in 0..300 {
-        world.wait_until(10.0 + 0.2 * f64::from(round));
+    for round in 0..600 {
+        world.wait_until(12.0 + 0.1 * f64::from(round));
         if !trouble {
             continue;
         }
@@ -318,11 +319,11 @@
             program.signal(Signal::SIGHUP);
             signals += 1;
         }
-        if round % 25 == 0 {
+        if round % 50 == 0 {
             record.line(format!("client: {} requests answered", answers()));
         }
     }
-    world.wait_until(71.0);
+    world.wait_until(74.0);
     let answered = answers() - started_at;
     let ends: u32 = world.programs.values().map(Program::own_ends).sum();
     for (name, program) in &world.programs {
