--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,3 @@
 set -eu
 cd "$(dirname "$0")/.."
 cargo build --release --offline --manifest-path review/standin-2/Cargo.toml --target-dir target/review
-cargo build --release --offline --manifest-path review/standin-3/Cargo.toml --target-dir target/review
