Tell the era of the store, its reads and displaced announcements

Cause of the change: no log line told whether the store had come back, what a read had found, whether a watch went on from a revision of before, or what the store lists of a node, so the hypotheses could not be told apart. Change: the adapter decodes the header Store-Era of each answer; the node logs and counts rises, outdated answers, and answers without an era, whose content is used as before.

--- a/crates/dogwoodpitch/src/coordination/kv.rs
+++ b/crates/dogwoodpitch/src/coordination/kv.rs
@@ -11,11 +11,30 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 
-use crate::{coordination::store::Error, transport::time};
+use crate::{coordination::store::Error, state::steering::era::Era, transport::time};
 
 /// Pending reply of a store.
 pub type Reply<T> = Pin<Box<dyn Future<Output = Result<T, Error>>>>;
 
+/// Value of a reply, with the era of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer<T> {
+    /// Value.
+    pub value: T,
+    /// Era, or why the answer does not tell it.
+    pub era: Result<Era, String>,
+}
+
+impl<T> Answer<T> {
+    /// Converts the value, if it is valid.
+    pub fn try_map<U>(self, convert: impl FnOnce(T) -> Result<U, Error>) -> Result<Answer<U>, Error> {
+        Ok(Answer {
+            value: convert(self.value)?,
+            era: self.era,
+        })
+    }
+}
+
 /// A key with its value and lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -61,17 +80,17 @@
 /// Operations of a store. Each makes one attempt within the given deadline; retries are up to the caller.
 pub struct Store {
     /// Reads all keys with a prefix. The result may be seconds old if the flag `stale` is set.
-    pub list: Box<dyn Fn(String, bool, Instant) -> Reply<Response>>,
+    pub list: Box<dyn Fn(String, bool, Instant) -> Reply<Answer<Response>>>,
     /// Waits for changes under a prefix after a revision.
-    pub watch: Box<dyn Fn(String, u64, Instant) -> Reply<Watch>>,
+    pub watch: Box<dyn Fn(String, u64, Instant) -> Reply<Answer<Watch>>>,
     /// Writes a key under its lease. Returns false if there is no such lease.
-    pub put: Box<dyn Fn(Entry, Instant) -> Reply<bool>>,
+    pub put: Box<dyn Fn(Entry, Instant) -> Reply<Answer<bool>>>,
     /// Grants a lease with a time to live.
-    pub grant: Box<dyn Fn(Duration, Instant) -> Reply<u64>>,
+    pub grant: Box<dyn Fn(Duration, Instant) -> Reply<Answer<u64>>>,
     /// Renews a lease. Returns false if it has expired.
-    pub keep_alive: Box<dyn Fn(u64, Instant) -> Reply<bool>>,
+    pub keep_alive: Box<dyn Fn(u64, Instant) -> Reply<Answer<bool>>>,
     /// Revokes a lease and removes its keys.
-    pub revoke: Box<dyn Fn(u64, Instant) -> Reply<()>>,
+    pub revoke: Box<dyn Fn(u64, Instant) -> Reply<Answer<()>>>,
 }
 
 impl fmt::Debug for Store {
--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -17,13 +17,14 @@
     coordination::{
         kv::{self, Response, Watch},
         steering::{
-            agent, evacuation,
+            agent, era, evacuation,
             node::{Node, State},
         },
     },
     state::{
         roster::Role,
         steering::{
+            era::Era,
             evacuation::Watched,
             freshness::{self, Age, Freshness},
             member::Member,
@@ -69,6 +70,15 @@
     pulling: Cell<bool>,
     /// When a peer has first shown a newer version than the one in force.
     outdated_since: Cell<Option<Instant>>,
+    /// Older version than the one in force that the store was last seen to hold.
+    older_version: Cell<Option<u64>>,
+}
+
+/// State of the store from which a watch continues.
+#[derive(Debug)]
+struct Base {
+    era: Option<Era>,
+    evacuations: Watched,
 }
 
 impl Config {
@@ -119,8 +129,7 @@
 async fn read_and_watch(node: &Rc<Node>, pause: &mut Duration) -> Result<(), crate::coordination::store::Error> {
     let prefix = node.platform.operator_prefix;
     let store = &node.platform.store;
-    // The evacuations as of the revision from which the watch continues.
-    let mut listed: Option<Watched> = None;
+    let mut listed: Option<Base> = None;
     loop {
         let now = Instant::now();
         if !is_watch_needed(node, now) {
@@ -128,15 +137,26 @@
             time::sleep_until(now + PEER_CHECK_INTERVAL).await;
             continue;
         }
-        let Some(evacuations) = listed.as_mut().filter(|watched| !watched.outdated) else {
+        let Some(base) = listed.as_mut().filter(|base| !base.evacuations.outdated) else {
             listed = Some(read(node).await?);
             *pause = MIN_PAUSE;
             continue;
         };
         let until = now + WATCH_WAIT;
-        match (store.watch)(prefix.to_owned(), evacuations.notice.revision, until).await? {
+        let after = base.evacuations.notice.revision;
+        let answer = (store.watch)(prefix.to_owned(), after, until).await?;
+        let (watch, answered_in) = era::record_answer(node, "watch", answer);
+        if answered_in != base.era
+            && let Watch::Changes(response) = &watch
+        {
+            log::warn!(
+                event = "watch.crossed_eras", after, revision = response.revision;
+                "a watch from a revision of an earlier era was answered with changes"
+            );
+        }
+        match watch {
             Watch::Changes(response) => {
-                apply_response(node, evacuations, response, "watch");
+                apply_response(node, &mut base.evacuations, response, "watch");
                 let confirmed_at = until.min(Instant::now());
                 node.config
                     .update_freshness(|freshness| freshness.confirm(confirmed_at));
@@ -147,7 +167,7 @@
 }
 
 /// Reads the configuration and the evacuations, and returns these with the revision from which a watch can continue.
-async fn read(node: &Rc<Node>) -> Result<Watched, crate::coordination::store::Error> {
+async fn read(node: &Rc<Node>) -> Result<Base, crate::coordination::store::Error> {
     let now = Instant::now();
     let deadline = now + READ_TIMEOUT;
     // The other nodes wait for a watcher to find the store as soon as it is back.
@@ -157,11 +177,17 @@
         READ_TIMEOUT
     };
     let list = || (node.platform.store.list)(node.platform.operator_prefix.to_owned(), false, deadline);
-    let response = kv::read_hedged(list, interval, deadline).await?;
+    let answer = kv::read_hedged(list, interval, deadline).await?;
+    let (response, era) = era::record_answer(node, "list", answer);
     let mut evacuations = Watched::default();
     apply_response(node, &mut evacuations, response, "store");
     node.config.update_freshness(|freshness| freshness.confirm(now));
-    Ok(evacuations)
+    log::info!(
+        event = "config.read", era = era.map(|era| era.0), revision = evacuations.notice.revision,
+        evacuated = evacuations.notice.data_centres.len();
+        "operators' keys read from the store"
+    );
+    Ok(Base { era, evacuations })
 }
 
 /// Whether a node has to watch the store, because others rely on it or because its peers do not keep it up to date. Calls to
@@ -235,6 +261,15 @@
         }
     };
     let known = node.routes().version;
+    if table.version < known
+        && source != "peer"
+        && node.config.older_version.replace(Some(table.version)) != Some(table.version)
+    {
+        log::warn!(
+            event = "config.older", source, version = table.version, in_force = known;
+            "the store holds an older version; the one in force stays"
+        );
+    }
     if table.version <= known {
         return;
     }
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -11,7 +11,7 @@
 use crate::{
     coordination::{
         kv::{self, Entry},
-        steering::{agent, node::Node},
+        steering::{agent, era, node::Node},
         store::Error,
     },
     protocol::{steer, store::NODE_PREFIX},
@@ -103,13 +103,15 @@
     let store = &node.platform.store;
     let deadline = || Instant::now() + CALL_TIMEOUT;
     if let Some(lease) = node.lease.get() {
-        if (store.keep_alive)(lease, deadline()).await? {
+        let answer = (store.keep_alive)(lease, deadline()).await?;
+        if era::record_answer(node, "keep alive", answer).0 {
             return Ok(Renewal::Kept);
         }
         log::warn!(event = "lease.lost", lease; "lease expired and the announcement was removed; announcing again");
         node.lease.set(None);
     }
-    let lease = (store.grant)(LEASE_TTL, deadline()).await?;
+    let answer = (store.grant)(LEASE_TTL, deadline()).await?;
+    let (lease, _) = era::record_answer(node, "grant", answer);
     let mut value = Vec::new();
     let report = Report {
         evacuations: None,
@@ -121,7 +123,8 @@
         value: value.into(),
         lease,
     };
-    if !(store.put)(entry, deadline()).await? {
+    let answer = (store.put)(entry, deadline()).await?;
+    if !era::record_answer(node, "put", answer).0 {
         let text = "the lease ended before the announcement was written".to_owned();
         return Err(Error::Unavailable { text });
     }
@@ -133,9 +136,10 @@
     let deadline = Instant::now() + CALL_TIMEOUT;
     let read = || (node.platform.store.list)(NODE_PREFIX.to_owned(), stale, deadline);
     let interval = if stale { CALL_TIMEOUT } else { HEDGE_INTERVAL };
-    let response = kv::read_hedged(read, interval, deadline).await?;
+    let answer = kv::read_hedged(read, interval, deadline).await?;
+    let (response, _) = era::record_answer(node, "members", answer);
     let mut listed = Vec::new();
-    let mut own_listed = false;
+    let mut own_listed = None;
     for reason in &response.rejected {
         node.reject_entry(reason);
     }
@@ -143,13 +147,21 @@
         match decode_member(&entry) {
             Ok((ip, report)) if ip != node.settings.ip => listed.push((ip, report)),
             Ok((_, report)) => {
-                own_listed = true;
+                own_listed = Some(entry.lease);
                 adopt_lease(node, &report, entry.lease);
             }
             Err(reason) => node.reject_entry(&reason),
         }
     }
-    if !own_listed && !stale && node.lease.get().is_none() {
+    if let Some(lease) = node.lease.get()
+        && own_listed != Some(lease)
+    {
+        log::warn!(
+            event = "announcement.displaced", lease, listed_lease = own_listed, stale;
+            "the announcement of this node is missing or hangs on another lease"
+        );
+    }
+    if own_listed.is_none() && !stale && node.lease.get().is_none() {
         agent::update_agent(node, &[], |agent, _, _| agent.mark_first_process());
     }
     let added = node.members.borrow_mut().add_listed(listed, Instant::now());
--- a/crates/dogwoodpitch/src/coordination/steering/mod.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod balancer;
 mod config;
+mod era;
 mod evacuation;
 mod membership;
 mod node;
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -25,6 +25,7 @@
             agent::{Agent, Identity, Note},
             balancer::Balancer,
             discovery,
+            era::Era,
             evacuation::Evacuations,
             member::{Change, Member, Members},
             report::{Load, Report, Stance},
@@ -74,6 +75,8 @@
     pub(super) members: RefCell<Members>,
     pub(super) config: config::Config,
     pub(super) evacuations: RefCell<Evacuations>,
+    /// Newest era of the store that is known.
+    pub(super) era: Cell<Option<Era>>,
     pub(super) frames: Socket,
     /// Packets of clients at a balancer, of the backend server at an agent.
     pub(super) packets: Socket,
@@ -147,6 +150,7 @@
             members: RefCell::default(),
             config: config::Config::default(),
             evacuations: RefCell::default(),
+            era: Cell::new(None),
             held_syns: RefCell::default(),
             lease: Cell::new(None),
             unanswered_since: Cell::new(None),
@@ -336,12 +340,17 @@
     /// again.
     pub(super) fn reject_entry(&self, reason: &str) {
         metrics::counter!("dogwoodpitch_malformed_total").increment(1);
-        let mut rejected = self.rejected_entries.borrow_mut();
-        if rejected.len() < MAX_REJECTED_ENTRIES && rejected.insert(reason.to_owned()) {
+        if self.is_first_rejection(reason) {
             log::warn!(event = "input.rejected", from:% = self.settings.ip, reason; "invalid entry left out");
         }
     }
 
+    /// Whether something is rejected for this reason for the first time, so that it is logged.
+    pub(super) fn is_first_rejection(&self, reason: &str) -> bool {
+        let mut rejected = self.rejected_entries.borrow_mut();
+        rejected.len() < MAX_REJECTED_ENTRIES && rejected.insert(reason.to_owned())
+    }
+
     fn handle_report(self: &Rc<Self>, from: Ipv4Addr, report: Report) {
         let now = Instant::now();
         if let Some(notice) = &report.evacuations {
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -13,6 +13,7 @@
 pub mod balancer;
 pub mod coverage;
 pub mod discovery;
+pub mod era;
 pub mod evacuation;
 pub mod evidence;
 pub mod freshness;
--- a/crates/dogwoodpitch/src/transport/http.rs
+++ b/crates/dogwoodpitch/src/transport/http.rs
@@ -92,22 +92,32 @@
     Ok(sender)
 }
 
-/// Makes one call on a new connection and reads the whole response before the deadline.
+/// Makes one call on a new connection and reads the status and the whole body of the response before the deadline.
 pub async fn call(
     address: SocketAddr,
     deadline: Instant,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), Error> {
+    let response = exchange(address, deadline, request).await?;
+    Ok((response.status(), response.into_body()))
+}
+
+/// Like [`call`], with the headers of the response.
+pub async fn exchange(
+    address: SocketAddr,
+    deadline: Instant,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, Error> {
     let exchange = async {
         let mut sender = connect(address).await?;
         let response = sender.send_request(request).await.context(CallSnafu { address })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_LEN).collect().await;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_LEN).collect().await;
         let body = body.map_err(|error| Error::Read {
             address,
             text: error.to_string(),
         })?;
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(parts, body.to_bytes()))
     };
     time::timeout_at(deadline, exchange)
         .await
--- a/crates/dogwoodpitchctl/src/check.rs
+++ b/crates/dogwoodpitchctl/src/check.rs
@@ -65,10 +65,10 @@
     let mut runtime = runtime::open().map_err(|error| Error::usage(format!("cannot start the runtime: {error}")))?;
     let list =
         async { (store::open(address).list)(config::KEY.to_owned(), false, Instant::now() + READ_TIMEOUT).await };
-    let response = runtime
+    let answer = runtime
         .block_on(list)
         .map_err(|error| Error::usage(format!("store {address}: {error}")))?;
-    let mut entries = response.entries.into_iter();
+    let mut entries = answer.value.entries.into_iter();
     let entry = entries.find(|entry| entry.key == config::KEY);
     let entry = entry.ok_or_else(|| Error::usage(format!("store {address}: no configuration that can be read")))?;
     Ok(entry.value.to_vec())
