Compare what the store gives out within one era only

Cause: nodes ordered evacuations, and continued watches, by revisions of the store, which gives them out again after its return from an older copy. A node that held revision 83 ignored the evacuation at 72 and ended it everywhere by its report; a watch from a revision that the new history had passed skipped what lay below. A list that lacked a lost evacuation ended it. Change: each node knows the newest era, from answers and from reports. Notices are ordered within it; a watch goes on only from a read of the same era. What was evacuated in an earlier era is retained until the store lists it again, or for 10 s in which the store could be reached; reports carry the age of the era and what is retained, so that nodes that start meanwhile know it, and the time is that of the first witness. Confirmations count from peers of the same era. A header that is missing or cannot follow the last one loses nothing: the content is used, the next watch begins with a read, a revision that goes back is taken for a return, and an era that all answers contradict is corrected.

--- a/crates/dogwoodpitch/benches/placement.rs
+++ b/crates/dogwoodpitch/benches/placement.rs
@@ -52,6 +52,8 @@
             greeting: false,
             confirmed: None,
             evacuations: None,
+            era: None,
+            recovery: None,
         };
         members.record_report(Ipv4Addr::from(0x0a01_0000 + number), report, now);
     }
--- a/crates/dogwoodpitch/src/coordination/steering/config.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/config.rs
@@ -70,6 +70,8 @@
     pulling: Cell<bool>,
     /// When a peer has first shown a newer version than the one in force.
     outdated_since: Cell<Option<Instant>>,
+    /// Era and revision up to which this node has read the store.
+    read_until: Cell<(Option<Era>, u64)>,
     /// Older version than the one in force that the store was last seen to hold.
     older_version: Cell<Option<u64>>,
 }
@@ -137,7 +139,9 @@
             time::sleep_until(now + PEER_CHECK_INTERVAL).await;
             continue;
         }
-        let Some(base) = listed.as_mut().filter(|base| !base.evacuations.outdated) else {
+        let newest = node.view.borrow().eras().newest();
+        let is_current = |base: &&mut Base| base.era == newest && !base.evacuations.outdated;
+        let Some(base) = listed.as_mut().filter(is_current) else {
             listed = Some(read(node).await?);
             *pause = MIN_PAUSE;
             continue;
@@ -145,23 +149,19 @@
         let until = now + WATCH_WAIT;
         let after = base.evacuations.notice.revision;
         let answer = (store.watch)(prefix.to_owned(), after, until).await?;
-        let (watch, answered_in) = era::record_answer(node, "watch", answer);
-        if answered_in != base.era
-            && let Watch::Changes(response) = &watch
-        {
-            log::warn!(
-                event = "watch.crossed_eras", after, revision = response.revision;
-                "a watch from a revision of an earlier era was answered with changes"
-            );
-        }
-        match watch {
-            Watch::Changes(response) => {
-                apply_response(node, &mut base.evacuations, response, "watch");
+        match era::record_answer(node, "watch", answer)? {
+            // Changes of a later era leave out what was written below the revision.
+            (Watch::Changes(_), era) if era > base.era => listed = None,
+            (Watch::Changes(response), era) => {
+                apply_response(node, base, response, "watch");
                 let confirmed_at = until.min(Instant::now());
                 node.config
                     .update_freshness(|freshness| freshness.confirm(confirmed_at));
+                if era.is_none() {
+                    listed = None;
+                }
             }
-            Watch::Compacted => listed = None,
+            (Watch::Compacted, _) => listed = None,
         }
     }
 }
@@ -178,16 +178,26 @@
     };
     let list = || (node.platform.store.list)(node.platform.operator_prefix.to_owned(), false, deadline);
     let answer = kv::read_hedged(list, interval, deadline).await?;
-    let (response, era) = era::record_answer(node, "list", answer);
-    let mut evacuations = Watched::default();
-    apply_response(node, &mut evacuations, response, "store");
+    let (response, era) = era::record_answer(node, "list", answer)?;
+    let (known_era, known_revision) = node.config.read_until.get();
+    if let (None, Some(known)) = (era, known_era)
+        && Some(known) == node.view.borrow().eras().newest()
+        && response.revision < known_revision
+    {
+        era::record_return(node, known, "list");
+    }
+    let mut base = Base {
+        era: node.view.borrow().eras().newest(),
+        evacuations: Watched::default(),
+    };
+    apply_response(node, &mut base, response, "store");
     node.config.update_freshness(|freshness| freshness.confirm(now));
     log::info!(
-        event = "config.read", era = era.map(|era| era.0), revision = evacuations.notice.revision,
-        evacuated = evacuations.notice.data_centres.len();
+        event = "config.read", era = base.era.map(|era| era.0), revision = base.evacuations.notice.revision,
+        evacuated = base.evacuations.notice.data_centres.len();
         "operators' keys read from the store"
     );
-    Ok(Base { era, evacuations })
+    Ok(base)
 }
 
 /// Whether a node has to watch the store, because others rely on it or because its peers do not keep it up to date. Calls to
@@ -224,12 +234,14 @@
 
 /// Applies the changes in a response to the evacuations, and then the configuration: who pulls its version from this node has
 /// heard of the evacuations before.
-fn apply_response(node: &Rc<Node>, evacuations: &mut Watched, response: Response, source: &'static str) {
+fn apply_response(node: &Rc<Node>, base: &mut Base, response: Response, source: &'static str) {
     for reason in &response.rejected {
         node.reject_entry(reason);
     }
+    let Base { era, evacuations } = base;
     let revision = evacuations.notice.revision.max(response.revision);
     evacuations.notice.revision = revision;
+    node.config.read_until.set((*era, revision));
     for changed in &response.keys {
         if let Some(data_centre) = (node.platform.decode_evacuation)(&changed.key)
             && !evacuations.set(data_centre, changed.present)
@@ -238,7 +250,7 @@
         }
     }
     if !evacuations.outdated {
-        evacuation::apply(node, &evacuations.notice, source);
+        evacuation::apply(node, *era, &evacuations.notice, source);
     }
     let key = node.platform.config_key.as_bytes();
     for entry in response.entries {
--- a/crates/dogwoodpitch/src/coordination/steering/era.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/era.rs
@@ -1,41 +1,103 @@
-//! Tells when the store has come back from an older copy of its data.
+//! Follows the eras of the store: what a node does when the store has come back from an older copy of its data.
+
+use std::{net::Ipv4Addr, rc::Rc, time::Instant};
 
 use crate::{
-    coordination::{kv::Answer, steering::node::Node},
-    state::steering::era::Era,
+    coordination::{
+        kv::Answer,
+        steering::{evacuation, node::Node},
+        store::Error,
+    },
+    state::steering::{
+        era::{Era, Order},
+        report::Report,
+    },
 };
 
-/// Returns the value of an answer of the store, and the era in which it holds.
-pub(super) fn record_answer<T>(node: &Node, call: &'static str, answer: Answer<T>) -> (T, Option<Era>) {
+/// Returns the value of an answer of the store, and its era if it tells one. Fails if the store has come back since.
+pub(super) fn record_answer<T>(
+    node: &Rc<Node>,
+    call: &'static str,
+    answer: Answer<T>,
+) -> Result<(T, Option<Era>), Error> {
     let era = match answer.era {
         Ok(era) => era,
         Err(reason) => {
-            metrics::counter!("dogwoodpitch_store_era_unknown_total").increment(1);
-            if node.is_first_rejection(&reason) {
-                log::warn!(event = "store.era_unknown", call, reason; "answer of the store does not tell its era");
-            }
-            return (answer.value, node.era.get());
+            reject(node, call, &reason);
+            return Ok((answer.value, None));
         }
     };
-    match node.era.get() {
-        None => log::info!(event = "store.era", call, era = era.0; "first era of the store that is known"),
-        Some(known) if era > known => {
+    let order = node.view.borrow_mut().record_answer(era, Instant::now());
+    match order {
+        Order::Outdated => {
+            metrics::counter!("dogwoodpitch_store_outdated_answers_total").increment(1);
+            log::warn!(event = "store.outdated_answer", call, era = era.0; "answer of an earlier era of the store");
+            let text = format!("{call}: answer of the earlier era {}", era.0);
+            return Err(Error::Unavailable { text });
+        }
+        Order::Implausible => {
+            reject(node, call, &format!("era {}: cannot follow the last one", era.0));
+            return Ok((answer.value, None));
+        }
+        Order::First | Order::Newer(_) | Order::Current | Order::Corrected(_) => handle_order(era, order, call),
+    }
+    Ok((answer.value, Some(era)))
+}
+
+/// Records that the store has come back, although an answer does not tell its era.
+pub(super) fn record_return(node: &Rc<Node>, before: Era, call: &'static str) {
+    let era = Era(before.0 + 1);
+    let order = node.view.borrow_mut().record_answer(era, Instant::now());
+    handle_order(era, order, call);
+}
+
+/// Records what a peer reports of the store. Returns whether the peer knows the newest era.
+pub(super) fn record_report(node: &Rc<Node>, from: Ipv4Addr, report: &Report) -> bool {
+    let heard = node.view.borrow_mut().record_report(report, Instant::now());
+    if let (Some(era), Some(order)) = (report.era, heard.order) {
+        handle_order(era, order, "report");
+        if order == Order::Implausible {
+            reject(
+                node,
+                "report",
+                &format!("era {} of {from}: cannot follow the last one", era.0),
+            );
+        }
+    }
+    evacuation::enforce(node, &heard.changes, "peer");
+    heard.is_current
+}
+
+fn handle_order(era: Era, order: Order, call: &'static str) {
+    match order {
+        Order::First => log::info!(event = "store.era", call, era = era.0; "first era of the store that is known"),
+        Order::Newer(before) => {
             metrics::counter!("dogwoodpitch_store_restores_total").increment(1);
             log::warn!(
-                event = "store.restored", call, era = era.0, before = known.0;
+                event = "store.restored", call, era = era.0, before = before.0;
                 "the store has come back from an older copy of its data"
             );
         }
-        Some(known) if era < known => log::warn!(
-            event = "store.outdated_answer", call, era = era.0, known = known.0;
-            "answer of an earlier era of the store"
+        Order::Corrected(before) => log::error!(
+            event = "store.era_corrected", call, era = era.0, before = before.0;
+            "the store goes on telling an earlier era than the newest one that is known"
         ),
-        Some(_) => {}
+        Order::Current | Order::Outdated | Order::Implausible => return,
     }
-    if node.era.get().is_none_or(|known| known < era) {
-        node.era.set(Some(era));
-        #[expect(clippy::cast_precision_loss, reason = "a store has far fewer than 2^52 eras")]
-        metrics::gauge!("dogwoodpitch_store_era").set(era.0 as f64);
+    #[expect(clippy::cast_precision_loss, reason = "a store has far fewer than 2^52 eras")]
+    metrics::gauge!("dogwoodpitch_store_era").set(era.0 as f64);
+}
+
+/// Ends the evacuations of earlier eras that were not written again in time.
+pub(super) fn expire_recovery(node: &Rc<Node>, now: Instant) {
+    let is_store_reached = node.config.freshness().is_recent(now);
+    let changes = node.view.borrow_mut().expire(is_store_reached, now);
+    evacuation::enforce(node, &changes, "not written again");
+}
+
+fn reject(node: &Node, call: &'static str, reason: &str) {
+    metrics::counter!("dogwoodpitch_store_era_unknown_total").increment(1);
+    if node.is_first_rejection(reason) {
+        log::warn!(event = "store.era_unknown", call, reason; "era of the store is not known; the content is used");
     }
-    (answer.value, Some(era))
 }
--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -99,22 +99,24 @@
     Written,
 }
 
-async fn renew(node: &Node) -> Result<Renewal, Error> {
+async fn renew(node: &Rc<Node>) -> Result<Renewal, Error> {
     let store = &node.platform.store;
     let deadline = || Instant::now() + CALL_TIMEOUT;
     if let Some(lease) = node.lease.get() {
         let answer = (store.keep_alive)(lease, deadline()).await?;
-        if era::record_answer(node, "keep alive", answer).0 {
+        if era::record_answer(node, "keep alive", answer)?.0 {
             return Ok(Renewal::Kept);
         }
         log::warn!(event = "lease.lost", lease; "lease expired and the announcement was removed; announcing again");
         node.lease.set(None);
     }
     let answer = (store.grant)(LEASE_TTL, deadline()).await?;
-    let (lease, _) = era::record_answer(node, "grant", answer);
+    let (lease, _) = era::record_answer(node, "grant", answer)?;
     let mut value = Vec::new();
     let report = Report {
         evacuations: None,
+        era: None,
+        recovery: None,
         ..node.build_report(false)
     };
     ciborium::into_writer(&report, &mut value).expect("reports have no failing serializers");
@@ -124,7 +126,7 @@
         lease,
     };
     let answer = (store.put)(entry, deadline()).await?;
-    if !era::record_answer(node, "put", answer).0 {
+    if !era::record_answer(node, "put", answer)?.0 {
         let text = "the lease ended before the announcement was written".to_owned();
         return Err(Error::Unavailable { text });
     }
@@ -137,7 +139,12 @@
     let read = || (node.platform.store.list)(NODE_PREFIX.to_owned(), stale, deadline);
     let interval = if stale { CALL_TIMEOUT } else { HEDGE_INTERVAL };
     let answer = kv::read_hedged(read, interval, deadline).await?;
-    let (response, _) = era::record_answer(node, "members", answer);
+    let newest = node.view.borrow().eras().newest();
+    if stale && answer.era.as_ref().is_ok_and(|era| Some(*era) < newest) {
+        let text = "the stale list is of an earlier era".to_owned();
+        return Err(Error::Unavailable { text });
+    }
+    let (response, _) = era::record_answer(node, "members", answer)?;
     let mut listed = Vec::new();
     let mut own_listed = None;
     for reason in &response.rejected {
--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -15,9 +15,7 @@
 use monoio::net::TcpListener;
 
 use crate::{
-    coordination::steering::{
-        Platform, Settings, agent, balancer, config, evacuation, membership, spawn_critical, ticks,
-    },
+    coordination::steering::{Platform, Settings, agent, balancer, config, era, membership, spawn_critical, ticks},
     protocol::steer::{self, Header, Kind, Message},
     state::{
         roster::Role,
@@ -25,12 +23,11 @@
             agent::{Agent, Identity, Note},
             balancer::Balancer,
             discovery,
-            era::Era,
-            evacuation::Evacuations,
             member::{Change, Member, Members},
             report::{Load, Report, Stance},
             route::Table,
             segment::Flow,
+            view::View,
         },
     },
     transport::{
@@ -74,9 +71,8 @@
     pub(super) state: RefCell<State>,
     pub(super) members: RefCell<Members>,
     pub(super) config: config::Config,
-    pub(super) evacuations: RefCell<Evacuations>,
-    /// Newest era of the store that is known.
-    pub(super) era: Cell<Option<Era>>,
+    /// What is known of the store.
+    pub(super) view: RefCell<View>,
     pub(super) frames: Socket,
     /// Packets of clients at a balancer, of the backend server at an agent.
     pub(super) packets: Socket,
@@ -149,8 +145,7 @@
             state: RefCell::new(state),
             members: RefCell::default(),
             config: config::Config::default(),
-            evacuations: RefCell::default(),
-            era: Cell::new(None),
+            view: RefCell::default(),
             held_syns: RefCell::default(),
             lease: Cell::new(None),
             unanswered_since: Cell::new(None),
@@ -218,7 +213,7 @@
             State::Agent(agent) => agent.load(now),
         };
         self.reports.set(self.reports.get() + 1);
-        Report {
+        let report = Report {
             role: self.settings.role(),
             incarnation: self.incarnation,
             number: self.reports.get(),
@@ -235,8 +230,11 @@
             vacant: self.is_vacant(),
             greeting,
             confirmed: self.config.freshness().reported_age(now),
-            evacuations: self.evacuations.borrow().report(),
-        }
+            evacuations: None,
+            era: None,
+            recovery: None,
+        };
+        self.view.borrow().report(report, now)
     }
 
     /// Queues a frame, which is sent by [`Node::flush`] at the latest.
@@ -353,9 +351,7 @@
 
     fn handle_report(self: &Rc<Self>, from: Ipv4Addr, report: Report) {
         let now = Instant::now();
-        if let Some(notice) = &report.evacuations {
-            evacuation::handle_reported(self, notice);
-        }
+        let knows_era = era::record_report(self, from, &report);
         let (version, confirmed, stance) = (report.version, report.confirmed, report.stance);
         let message = if report.greeting {
             discovery::Message::ReportRequest
@@ -374,7 +370,7 @@
             agent::update_agent(self, &[], |agent, _, out| agent.handle_peer_restart(from, out));
         }
         self.reply(from, message, matches!(change, Change::New { .. }));
-        let confirmed = confirmed.filter(|_| change != Change::Stale);
+        let confirmed = confirmed.filter(|_| knows_era && change != Change::Stale);
         config::handle_reported_version(self, from, version, confirmed, now);
     }
 
--- a/crates/dogwoodpitch/src/coordination/steering/ticks.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/ticks.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     coordination::steering::{
-        agent, membership,
+        agent, era, membership,
         node::{Node, State, millis},
         reload,
     },
@@ -79,6 +79,7 @@
         agent.remove_nodes(&gone);
         agent.tick(members, now, out);
     });
+    era::expire_recovery(node, now);
     if ticks.is_multiple_of(EXPIRE_TICKS) {
         if let State::Balancer(balancer) = &mut *node.state.borrow_mut() {
             balancer.expire(now);
--- a/crates/dogwoodpitch/src/protocol/steer.rs
+++ b/crates/dogwoodpitch/src/protocol/steer.rs
@@ -117,10 +117,12 @@
     }
 }
 
-/// Encodes an entry of [`Message::Nodes`]. Evacuations are left out: the sender's own reports name them.
+/// Encodes an entry of [`Message::Nodes`]. What the node knows of the store is left out: the sender's own reports tell it.
 pub fn encode_node(ip: Ipv4Addr, report: &Report) -> Value {
     let report = Report {
         evacuations: None,
+        era: None,
+        recovery: None,
         ..report.clone()
     };
     Value::serialized(&(ip, report)).expect("reports have no failing serializers")
--- a/crates/dogwoodpitch/src/state/steering/freshness.rs
+++ b/crates/dogwoodpitch/src/state/steering/freshness.rs
@@ -22,7 +22,7 @@
 /// half a second, so an older one means that the watching nodes are gone or cannot reach the store.
 const MAX_AGE: Duration = Duration::from_millis(2_500);
 
-/// Age of a confirmation in a report, in tenths of a second, rounded up. Ages of up to 2.3 s take one byte.
+/// Age in a report, in tenths of a second. Ages of up to 2.3 s take one byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Age(pub u8);
@@ -30,14 +30,21 @@
 impl Age {
     const UNIT: Duration = Duration::from_millis(100);
 
-    /// Encodes an age. One of over 25.5 s is not reported.
+    /// Encodes an age, rounded up. One of over 25.5 s is not reported.
     fn encode(age: Duration) -> Option<Self> {
         let units = age.as_millis().div_ceil(Self::UNIT.as_millis());
         u8::try_from(units).ok().map(Self)
     }
 
+    /// Encodes an age, rounded down. Nodes that take over the greatest one from one another would make it ever greater if it
+    /// was rounded up.
+    pub(super) fn encode_least(age: Duration) -> Option<Self> {
+        let units = age.as_millis() / Self::UNIT.as_millis();
+        u8::try_from(units).ok().map(Self)
+    }
+
     /// The moment of which this is the age.
-    fn moment(self, now: Instant) -> Option<Instant> {
+    pub(super) fn moment(self, now: Instant) -> Option<Instant> {
         now.checked_sub(Self::UNIT * self.0.into())
     }
 }
@@ -69,6 +76,11 @@
         self.peers_until.is_some_and(|until| now < until)
     }
 
+    /// Whether this node or a peer has reached the store recently.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        self.confirmed_at.is_some_and(|moment| now < moment + MAX_AGE)
+    }
+
     /// Age of the last confirmation; `None` before the first.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|moment| now.saturating_duration_since(moment))
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -28,4 +28,5 @@
 pub mod search;
 pub mod segment;
 pub mod table;
+pub mod view;
 pub mod warm_up;
--- a/crates/dogwoodpitch/src/state/steering/report.rs
+++ b/crates/dogwoodpitch/src/state/steering/report.rs
@@ -5,7 +5,11 @@
 
 use crate::state::{
     roster::Role,
-    steering::{evacuation::Notice, freshness::Age},
+    steering::{
+        era::Era,
+        evacuation::{Notice, Recovery},
+        freshness::Age,
+    },
 };
 
 /// Which flows a node serves, by its own report.
@@ -56,13 +60,19 @@
     pub confirmed: Option<Age>,
     /// Evacuated data centres, if the node knows of an evacuation, past or present.
     pub evacuations: Option<Notice>,
+    /// Newest era of the store that the node knows. It is also that of the evacuations.
+    pub era: Option<Era>,
+    /// What the node remembers for a store that has come back recently.
+    pub recovery: Option<Recovery>,
 }
 
 impl Report {
     /// Whether the sender knows that its data centre is evacuated.
     pub fn is_evacuated(&self) -> bool {
-        let evacuations = self.evacuations.as_ref();
-        evacuations.is_some_and(|notice| notice.data_centres.contains(&self.data_centre))
+        let listed = self.evacuations.as_ref().map(|notice| &notice.data_centres);
+        let retained = self.recovery.as_ref().map(|recovery| &recovery.retained);
+        let mut names = listed.into_iter().chain(retained);
+        names.any(|names| names.contains(&self.data_centre))
     }
 
     /// Whether two reports describe the same node, regardless of its process, stance and load.
@@ -86,6 +96,8 @@
     bool,
     #[serde(default)] Option<Age>,
     #[serde(default)] Option<Notice>,
+    #[serde(default)] Option<Era>,
+    #[serde(default)] Option<Recovery>,
 );
 
 impl From<Report> for ReportFields {
@@ -103,6 +115,8 @@
             report.greeting,
             report.confirmed,
             report.evacuations,
+            report.era,
+            report.recovery,
         )
     }
 }
@@ -122,6 +136,8 @@
             greeting: fields.9,
             confirmed: fields.10,
             evacuations: fields.11,
+            era: fields.12,
+            recovery: fields.13,
         }
     }
 }
--- a/crates/dogwoodpitch/tests/codec.rs
+++ b/crates/dogwoodpitch/tests/codec.rs
@@ -16,7 +16,8 @@
         roster::Role,
         service::Id,
         steering::{
-            evacuation::Notice,
+            era::Era,
+            evacuation::{Notice, Recovery},
             freshness::Age,
             report::{Load, Report, Stance},
         },
@@ -129,6 +130,21 @@
             revision: u64::MAX,
             data_centres: ["nasr-city".into(), "shubra".into()].into(),
         }),
+        era: Some(Era(u64::MAX)),
+        recovery: Some(Recovery {
+            age: Age(u8::MAX),
+            retained: ["nasr-city".into(), "giza".into()].into(),
+        }),
+    }
+}
+
+/// Report of a node that knows nothing of the store.
+fn report_without_store() -> Report {
+    Report {
+        evacuations: None,
+        era: None,
+        recovery: None,
+        ..report()
     }
 }
 
@@ -183,8 +199,7 @@
     ciborium::into_writer(&Former::Report(former), &mut bytes).unwrap();
     let without_age = Report {
         confirmed: None,
-        evacuations: None,
-        ..report
+        ..report_without_store()
     };
     assert_eq!(steer::decode(&bytes).unwrap(), Message::Report(without_age));
 }
@@ -237,28 +252,67 @@
     assert_eq!(steer::Header::decode(&frame), None);
 }
 
-/// Reports are sent all the time, so a deployment without evacuations must not pay for their names. Nodes of the build before
-/// evacuations send no field for them.
+/// Reports are sent all the time, so a deployment without evacuations must not pay for their names, nor for a store that has
+/// not come back. Nodes of the builds before evacuations and before eras send no field for them.
 #[test]
-fn reports_without_evacuations_cost_one_byte() {
-    let report = Report {
-        evacuations: None,
-        ..report()
-    };
+fn reports_without_evacuations_and_returns_cost_a_byte_each() {
+    const FIELDS_BEFORE_EVACUATIONS: usize = 11;
+    let report = report_without_store();
     let now = Value::serialized(&report).unwrap().into_array().unwrap();
-    assert_eq!(now.last(), Some(&Value::Null));
-    let former = Value::Array(now[..now.len() - 1].to_vec());
-    assert_eq!(former.deserialized::<Report>().unwrap(), report);
-    let evacuated = Report {
+    assert_eq!(
+        now[FIELDS_BEFORE_EVACUATIONS..],
+        [Value::Null, Value::Null, Value::Null]
+    );
+    for fields in FIELDS_BEFORE_EVACUATIONS..now.len() {
+        let former = Value::Array(now[..fields].to_vec());
+        assert_eq!(former.deserialized::<Report>().unwrap(), report, "{fields} fields");
+    }
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Value::serialized(&Some(Era(1))).unwrap(), &mut bytes).unwrap();
+    assert_eq!(bytes.len(), 1);
+    let of_store = Report {
         evacuations: Some(Notice::default()),
-        ..report.clone()
+        ..self::report()
     };
     assert_eq!(
-        steer::encode_node(Ipv4Addr::LOCALHOST, &evacuated),
+        steer::encode_node(Ipv4Addr::LOCALHOST, &of_store),
         steer::encode_node(Ipv4Addr::LOCALHOST, &report)
     );
 }
 
+/// Nodes of the build before eras run beside new ones during an update. They must take a report as before, with its
+/// evacuations.
+#[test]
+fn reports_are_exchanged_with_the_build_that_has_no_era() {
+    const FIELDS: usize = 12;
+    type Former = (
+        Role,
+        u64,
+        u64,
+        Bytes,
+        Bytes,
+        Stance,
+        Load,
+        u64,
+        bool,
+        bool,
+        Option<Age>,
+        Option<Notice>,
+    );
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&report(), &mut bytes).unwrap();
+    let former: Former = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!((former.10, former.11), (report().confirmed, report().evacuations));
+    let fields = Value::serialized(&report()).unwrap().into_array().unwrap();
+    let without_era = Report {
+        era: None,
+        recovery: None,
+        ..report()
+    };
+    let decoded: Report = Value::Array(fields[..FIELDS].to_vec()).deserialized().unwrap();
+    assert_eq!(decoded, without_era);
+}
+
 /// One odd entry in a peer's list must not hide the others. Processes of before send the same bytes.
 #[test]
 fn an_odd_node_in_a_list_leaves_the_others() {
@@ -266,10 +320,7 @@
     enum Former {
         Nodes(Vec<(Ipv4Addr, Report)>),
     }
-    let report = Report {
-        evacuations: None,
-        ..report()
-    };
+    let report = report_without_store();
     let good = steer::encode_node(Ipv4Addr::LOCALHOST, &report);
     let encoded = steer::encode(&Message::Nodes(vec![good.clone()]));
     let mut former = Vec::new();
--- a/crates/dogwoodpitch/tests/steering/build.rs
+++ b/crates/dogwoodpitch/tests/steering/build.rs
@@ -176,6 +176,8 @@
         greeting: false,
         confirmed: None,
         evacuations: None,
+        era: None,
+        recovery: None,
     }
 }
 
--- a/crates/dogwoodpitch/tests/steering/cluster/message.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/message.rs
@@ -175,10 +175,7 @@
         } else {
             discovery::Message::Report
         };
-        let changes = report
-            .evacuations
-            .as_ref()
-            .map(|notice| node.evacuations.merge_reported(notice));
+        let heard = node.view.record_report(&report, now);
         let (version, known) = (report.version, node.version);
         let change = node.members.record_report(from, report, now);
         if let Change::New { was_draining } = change {
@@ -188,7 +185,7 @@
             self.update_agent(ip, None, |agent, _, out| agent.handle_peer_restart(from, out));
         }
         self.reply(ip, from, message, matches!(change, Change::New { .. }));
-        if changes.is_some_and(|changes| !changes.is_empty()) {
+        if !heard.changes.is_empty() {
             self.enforce_evacuations(ip);
         }
         if version > known {
--- a/crates/dogwoodpitch/tests/steering/cluster/node.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/node.rs
@@ -13,11 +13,11 @@
         agent::{Agent, Identity},
         backend::Heartbeat,
         balancer::Balancer,
-        evacuation::Evacuations,
         member::Members,
         report::{Load, Report, Stance},
         route::Table,
         segment::{Flow, Segment},
+        view::View,
     },
 };
 
@@ -121,7 +121,7 @@
     pub(super) state: State,
     pub(super) members: Members,
     pub(super) version: u64,
-    pub(super) evacuations: Evacuations,
+    pub(super) view: View,
     pub(super) reports: u64,
     last_life: Life,
     ticks: u64,
@@ -182,7 +182,7 @@
             state,
             members: Members::default(),
             version: 0,
-            evacuations: Evacuations::default(),
+            view: View::default(),
             reports: 0,
             last_life: Life {
                 stance: Stance::Joining,
@@ -374,7 +374,7 @@
             State::Agent(agent) => (Role::Agent, agent.load(now), SERVICE_NAME.into()),
             State::Balancer(_) => (Role::Balancer, Load::default(), Bytes::new()),
         };
-        Report {
+        let report = Report {
             role,
             incarnation: node.process,
             number: node.reports,
@@ -386,8 +386,11 @@
             vacant: life.vacant,
             greeting,
             confirmed: None,
-            evacuations: node.evacuations.report(),
-        }
+            evacuations: None,
+            era: None,
+            recovery: None,
+        };
+        node.view.report(report, now)
     }
 
     fn run_tick(&mut self, ip: Ipv4Addr) {
@@ -525,7 +528,7 @@
             return;
         }
         let node = self.nodes.get_mut(&ip).expect("the node runs");
-        if !node.evacuations.merge(&self.evacuations).is_empty() {
+        if !node.view.merge(None, &self.evacuations).is_empty() {
             self.enforce_evacuations(ip);
         }
     }
@@ -533,8 +536,9 @@
     pub(super) fn enforce_evacuations(&mut self, ip: Ipv4Addr) {
         let now = self.instant();
         let node = self.nodes.get_mut(&ip).expect("the node runs");
-        node.members.set_evacuated(node.evacuations.data_centres());
-        let evacuated = node.evacuations.data_centres().contains(&node.data_centre);
+        let in_force = node.view.evacuations().data_centres();
+        node.members.set_evacuated(in_force);
+        let evacuated = in_force.contains(&node.data_centre);
         self.note(ip, || format!("hears of an evacuation; own data centre {evacuated}"));
         self.update_agent(ip, None, |agent, members, out| {
             agent.set_evacuated(evacuated, members, now, out);
--- a/crates/dogwoodpitch/tests/steering/evacuation.rs
+++ b/crates/dogwoodpitch/tests/steering/evacuation.rs
@@ -8,7 +8,9 @@
     state::steering::{
         agent::{Agent, Effect, Note},
         balancer::{Balancer, Decision},
-        evacuation::{Evacuations, Notice, Watched},
+        era::Era,
+        evacuation::{Evacuations, Notice, Recovery, Watched},
+        freshness::Age,
         member::{Change, Members},
         report::{Report, Stance},
     },
@@ -20,6 +22,7 @@
     syn,
 };
 
+const ERA: Option<Era> = Some(Era(1));
 const DELAY: std::time::Duration = std::time::Duration::from_secs(1);
 
 fn set(names: &[&'static str]) -> BTreeSet<Bytes> {
@@ -33,6 +36,12 @@
     }
 }
 
+fn evacuations() -> Evacuations {
+    let mut evacuations = Evacuations::default();
+    evacuations.begin_era(Era(1));
+    evacuations
+}
+
 fn evacuate(agent: &mut Agent, members: &mut Members, names: &[&'static str], now: Instant, out: &mut Vec<Effect>) {
     members.set_evacuated(&set(names));
     agent.set_evacuated(names.contains(&"east"), members, now, out);
@@ -73,8 +82,8 @@
         ),
     ];
     for (facts, expected, changes) in cases {
-        let mut known = Evacuations::default();
-        let seen: usize = facts.iter().map(|fact| known.merge(fact).len()).sum();
+        let mut known = evacuations();
+        let seen: usize = facts.iter().map(|fact| known.merge(ERA, fact).len()).sum();
         assert_eq!(known.data_centres(), &set(expected), "{facts:?}");
         assert_eq!(seen, changes, "{facts:?}");
     }
@@ -84,14 +93,14 @@
 /// evacuation did not tell what they know.
 #[test]
 fn a_node_that_hears_of_an_old_evacuation_reports_its_end() {
-    let mut started_later = Evacuations::default();
-    started_later.merge(&notice(9, &[]));
+    let mut started_later = evacuations();
+    started_later.merge(ERA, &notice(9, &[]));
     assert_eq!(started_later.report(), None);
-    let mut cut_off = Evacuations::default();
-    cut_off.merge(&notice(5, &["east"]));
-    started_later.merge_reported(&cut_off.report().unwrap());
+    let mut cut_off = evacuations();
+    cut_off.merge(ERA, &notice(5, &["east"]));
+    started_later.merge_reported(ERA, &cut_off.report().unwrap());
     assert_eq!(started_later.report(), Some(notice(9, &[])));
-    cut_off.merge_reported(&started_later.report().unwrap());
+    cut_off.merge_reported(ERA, &started_later.report().unwrap());
     assert!(cut_off.data_centres().is_empty());
 }
 
@@ -101,8 +110,14 @@
     let mut many = Notice::default();
     let rejected = (0..500).filter(|number| !many.set(format!("zone-{number}").into(), true));
     assert!(rejected.count() > 0);
+    let recovery = Recovery {
+        age: Age(u8::MAX),
+        retained: many.data_centres.clone(),
+    };
     let report = Report {
         evacuations: Some(many),
+        era: Some(Era(u64::MAX)),
+        recovery: Some(recovery),
         ..agent_report(u64::MAX, u64::MAX, Stance::Open)
     };
     assert!(HEADER_LEN + steer::encode(&Message::Report(report)).len() + 200 < MAX_DATAGRAM);
--- a/crates/dogwoodpitch/tests/steering/main.rs
+++ b/crates/dogwoodpitch/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod build;
 mod cluster;
+mod era;
 mod evacuation;
 mod freshness;
 mod fuzz;
