Judge the announcement of a node by the lists of the store

Cause: a node took the answers to its writes and renewals for proof that its announcement stands. A write that was given up may be done later and hangs the announcement on a lease that nobody renews. A store that has come back has lost announcements, and gives out their leases again, so that a renewal succeeds although it is that of another node. The two share this cause. Change: each list, read every 9 s anyway and at once after a return, decides. If the announcement is missing, hangs on another lease than the one renewed, or on one that another node uses, it is written under a new lease; if the list may be stale, only after a fresh one. Leases are renewed once in each era, and revoked only in the era in which they were last seen. An agent whose first list was of the new era resets nothing for 3 s, and does not take itself for the first process of its VM.

--- a/crates/dogwoodpitch/src/coordination/steering/node.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/node.rs
@@ -21,8 +21,10 @@
         roster::Role,
         steering::{
             agent::{Agent, Identity, Note},
+            announcement::Lease,
             balancer::Balancer,
             discovery,
+            era::Era,
             member::{Change, Member, Members},
             report::{Load, Report, Stance},
             route::Table,
@@ -33,6 +35,7 @@
     transport::{
         http,
         metric::Recorder,
+        notify::Notify,
         signal::{Reload, Termination},
         udp::{MAX_DATAGRAM, Socket},
     },
@@ -73,6 +76,9 @@
     pub(super) config: config::Config,
     /// What is known of the store.
     pub(super) view: RefCell<View>,
+    pub(super) era_changed: Notify,
+    /// Era of the first list of nodes that this process has read after its announcement.
+    pub(super) first_listed_in: Cell<Option<Era>>,
     pub(super) frames: Socket,
     /// Packets of clients at a balancer, of the backend server at an agent.
     pub(super) packets: Socket,
@@ -82,7 +88,7 @@
     pub(super) live_settings: RefCell<Settings>,
     /// SYN packets queued at an agent, by flow.
     pub(super) held_syns: RefCell<HashMap<Flow, Vec<u8>>>,
-    pub(super) lease: Cell<Option<u64>>,
+    pub(super) lease: Cell<Option<Lease>>,
     /// Time of the first packet delivered to the backend server since its last packet.
     pub(super) unanswered_since: Cell<Option<Instant>>,
     /// Reasons for which entries were rejected and logged.
@@ -146,6 +152,8 @@
             members: RefCell::default(),
             config: config::Config::default(),
             view: RefCell::default(),
+            era_changed: Notify::default(),
+            first_listed_in: Cell::new(None),
             held_syns: RefCell::default(),
             lease: Cell::new(None),
             unanswered_since: Cell::new(None),
--- a/crates/dogwoodpitch/src/state/steering/agent/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/agent/mod.rs
@@ -60,6 +60,8 @@
     announced: bool,
     /// From when on the reports of the peers are recent again after a pause of this process.
     reports_recent_at: Instant,
+    /// From when on the peers whose announcements the store has lost have announced themselves again.
+    peers_announced_at: Instant,
     stopping: bool,
     /// Whether the data centre of this agent is evacuated.
     evacuated: bool,
@@ -110,6 +112,7 @@
             coverage: Coverage::new(now, identity.started_ms),
             announced: false,
             reports_recent_at: now,
+            peers_announced_at: now,
             stopping: false,
             evacuated: false,
             backend: Backend::new(heartbeat_interval, now),
@@ -167,6 +170,14 @@
         self.announced = true;
     }
 
+    /// Records that the lists of the store may lack nodes until the given time.
+    pub fn expect_announcements(&mut self, until: Instant) {
+        if until > self.peers_announced_at {
+            self.peers_announced_at = until;
+            self.searches.abandon_running();
+        }
+    }
+
     /// Records that the store lists no earlier process of this agent.
     pub fn mark_first_process(&mut self) {
         self.coverage.mark_first_process();
@@ -184,7 +195,8 @@
     /// flow are not known.
     fn knows_all_peers(&self, now: Instant) -> bool {
         let knows_services = self.routes.is_loaded() && self.routes.version >= self.newest_version;
-        self.announced && knows_services && now >= self.reports_recent_at
+        let knows_nodes = self.announced && now >= self.peers_announced_at;
+        knows_nodes && knows_services && now >= self.reports_recent_at
     }
 
     fn has_open_peer(&self, members: &Members, now: Instant) -> bool {
--- a/crates/dogwoodpitch/src/state/steering/era.rs
+++ b/crates/dogwoodpitch/src/state/steering/era.rs
@@ -12,6 +12,8 @@
 /// Time after a return in which the operators write again what the store has lost, as long as it can be reached. Until then,
 /// a key that is missing may have been lost.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
+/// Time after a return in which the nodes announce themselves again: they hear of it by reports, and read the list.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
 /// Largest rise that is taken for one. The era rises by one at a time.
 const MAX_RISE: u64 = 1_000;
 /// Time for which all answers have to tell an earlier era than the newest one until that is taken for wrong. An answer that
@@ -126,6 +128,11 @@
         }
     }
 
+    /// Until when lists of the store may lack nodes that have not announced themselves again yet.
+    pub fn announced_by(&self) -> Option<Instant> {
+        self.returned_at.map(|returned_at| returned_at + ANNOUNCE_TIME)
+    }
+
     /// Age of the newest era for a report, while operators may be writing again.
     pub fn reported_age(&self, now: Instant) -> Option<Age> {
         let returned_at = self.returned_at.filter(|_| self.is_rewriting(now))?;
--- a/crates/dogwoodpitch/src/state/steering/mod.rs
+++ b/crates/dogwoodpitch/src/state/steering/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod agent;
+pub mod announcement;
 pub mod audience;
 pub mod backend;
 pub mod balancer;
--- a/crates/dogwoodpitch/tests/steering/era.rs
+++ b/crates/dogwoodpitch/tests/steering/era.rs
@@ -7,6 +7,8 @@
 
 use bytes::Bytes;
 use dogwoodpitch::state::steering::{
+    agent::{Agent, Effect},
+    announcement::{self, Lease, Listed, Verdict},
     era::{Era, Eras, Order},
     evacuation::{Change, Notice},
     freshness::Age,
@@ -14,7 +16,7 @@
     view::View,
 };
 
-use crate::build::agent_report;
+use crate::build::{A, BALANCER, agent_report, agent_with_backend, data, hop, members};
 
 /// Time after a return in which evacuations of earlier eras stay in force.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
@@ -81,6 +83,8 @@
     let mut now = start + Duration::from_secs(2);
     fresh.record_reported(Era(2), witness.reported_age(now), now);
     assert!(fresh.is_rewriting(now));
+    let announced_by = fresh.announced_by().unwrap();
+    assert!(announced_by <= witness.announced_by().unwrap() && announced_by + Duration::from_secs(1) > now);
     while now < start + RECOVERY_LIMIT {
         now += Duration::from_millis(70);
         late.record_reported(Era(2), fresh.reported_age(now), now);
@@ -255,6 +259,67 @@
     assert_eq!(known.expire(true, now + RECOVERY_LIMIT).len(), 1);
 }
 
+/// The answers to writes and renewals said that an announcement stood which had vanished, or which nobody renewed.
+#[test]
+fn only_a_list_proves_that_an_announcement_stands() {
+    let listed = |lease| {
+        Some(Listed {
+            lease,
+            shared: false,
+            same_node: true,
+        })
+    };
+    let shared = |lease| listed(lease).map(|listed| Listed { shared: true, ..listed });
+    let of_former = |lease| {
+        listed(lease).map(|listed| Listed {
+            same_node: false,
+            ..listed
+        })
+    };
+    let renewed = Some(Lease {
+        id: 7,
+        era: Some(Era(1)),
+    });
+    for (renewed, listed, verdict) in [
+        (renewed, listed(7), Verdict::Stands(7)),
+        // The announcement of the process before is adopted.
+        (None, listed(7), Verdict::Stands(7)),
+        // It was lost, or its lease is over.
+        (renewed, None, Verdict::Missing),
+        (None, None, Verdict::Missing),
+        // A write that was given up was done later, under the lease that was given up with it.
+        (renewed, listed(6), Verdict::Missing),
+        // The lease was given out again to another node.
+        (renewed, shared(7), Verdict::Missing),
+        (None, shared(7), Verdict::Missing),
+        // The address belonged to another node before, and the copy lists that.
+        (renewed, of_former(7), Verdict::Missing),
+        (None, of_former(7), Verdict::Missing),
+        (None, listed(0), Verdict::Missing),
+    ] {
+        assert_eq!(announcement::judge(renewed, listed), verdict, "{renewed:?} {listed:?}");
+    }
+}
+
+/// An agent that starts after a return reads a list that lacks the peers whose announcements were lost, and reset a flow of
+/// one of them because all that were listed had denied it.
+#[test]
+fn an_agent_resets_nothing_while_peers_announce_themselves_again() {
+    let now = Instant::now();
+    let mut agent = agent_with_backend(A, now);
+    agent.mark_announced();
+    let known = members(&[], Stance::Open, now);
+    let resets = |agent: &mut Agent, port, now| {
+        let mut out = Vec::new();
+        agent.handle_client_packet(&data(port, 500), hop(BALANCER), &known, now, &mut out);
+        out.iter().any(|effect| matches!(effect, Effect::Reset { .. }))
+    };
+    let announced_by = now + Duration::from_secs(3);
+    agent.expect_announcements(announced_by);
+    assert!(!resets(&mut agent, 1, now + Duration::from_secs(2)));
+    assert!(resets(&mut agent, 2, announced_by));
+}
+
 /// An age that does not fit must not make a return look recent.
 #[test]
 fn an_old_return_is_not_reported() {
