lab: the store comes back from an older copy; failing test of the QUIC interface

Callers of the QUIC interface: a change that was accepted after a return of its store is not in force. The replica orders items by revisions of the store and reads only what is above the one it knows. Change: the lab's store keeps copies of its data, goes back to one by /lab/restore with leases and revisions, and tells its era in all answers. Not fixed: items have no version of the operators' own, so a copy's older value cannot be told from a newer one by comparing; that needs a design of its own.

--- a/crates/dogwoodpitch-lab/src/gateway.rs
+++ b/crates/dogwoodpitch-lab/src/gateway.rs
@@ -1,5 +1,5 @@
-//! Key-value store in memory behind the subset of the etcd v3 JSON gateway that the system uses, with faults. The tests
-//! of other crates include this file.
+//! Key-value store in memory behind the subset of the etcd v3 JSON gateway that the system uses, with faults. It can come back
+//! from an older copy of its data, and tells its era in a header. The tests of other crates include this file.
 
 use std::{
     cell::RefCell,
@@ -48,17 +48,37 @@
     LostReply,
 }
 
-#[derive(Debug)]
+/// Header with the number of returns from an older copy.
+const ERA_HEADER: &str = "store-era";
+/// Age of the oldest copy that is kept.
+const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+
+/// Return from a copy of this age.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct Return {
+    millis: u64,
+}
+
+#[derive(Debug, Clone)]
 struct Granted {
     ttl: Duration,
     expires: Instant,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What is lost by a return from an older copy.
+#[derive(Debug, Clone, Default)]
+struct Data {
     revision: u64,
     entries: BTreeMap<Bytes, Entry>,
     leases: BTreeMap<u64, Granted>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    data: Data,
+    /// Copies of the data after each call that has changed them, and when they were made.
+    copies: Vec<(Instant, Data)>,
+    era: u64,
     calls: BTreeMap<String, u64>,
     fault: Fault,
 }
@@ -67,11 +87,20 @@
 pub(crate) async fn serve(listener: TcpListener) {
     // As in etcd, an empty store has revision 1.
     let state = Rc::new(RefCell::new(State {
-        revision: 1,
+        data: Data {
+            revision: 1,
+            ..Data::default()
+        },
         ..State::default()
     }));
+    state.borrow_mut().copy();
     http::serve(listener, http::IDLE_TIMEOUT, move |_peer, request| {
-        answer(Rc::clone(&state), request)
+        let state = Rc::clone(&state);
+        async move {
+            let mut response = answer(Rc::clone(&state), request).await;
+            response.headers_mut().insert(ERA_HEADER, state.borrow().era.into());
+            response
+        }
     })
     .await;
 }
@@ -92,6 +121,11 @@
                 Err(problem) => error(StatusCode::BAD_REQUEST, &problem.to_string()),
             };
         }
+        "/lab/restore" => {
+            return run(&body, |back: Return| {
+                state.borrow_mut().restore(Duration::from_millis(back.millis))
+            });
+        }
         "/lab/expire" => {
             let key = String::from_utf8_lossy(&body);
             let expired = state.borrow_mut().expire_lease_of(key.as_bytes());
@@ -119,9 +153,9 @@
             return response;
         }
         FaultKind::LostReply => {
-            let before = state.borrow().revision;
+            let before = state.borrow().data.revision;
             let response = state.borrow_mut().call(&path, &body);
-            if state.borrow().revision == before {
+            if state.borrow().data.revision == before {
                 return response;
             }
             time::sleep_until(Instant::now() + delay).await;
@@ -152,6 +186,41 @@
 }
 
 impl State {
+    fn call(&mut self, path: &str, body: &[u8]) -> Response<Body> {
+        let response = self.data.call(path, body);
+        self.copy();
+        response
+    }
+
+    fn copy(&mut self) {
+        let now = Instant::now();
+        let is_old = |(copied_at, _): &(Instant, Data)| *copied_at + MAX_COPY_AGE < now;
+        let old = self.copies.iter().filter(|copy| is_old(copy)).count();
+        self.copies.drain(..old.saturating_sub(1));
+        self.copies.push((now, self.data.clone()));
+    }
+
+    /// Comes back from the copy of this age, and returns the new era.
+    fn restore(&mut self, age: Duration) -> u64 {
+        let is_young = |(copied_at, _): &(Instant, Data)| copied_at.elapsed() < age;
+        let young = self.copies.iter().rev().take_while(|copy| is_young(copy)).count();
+        let last_kept = (self.copies.len() - young).saturating_sub(1);
+        self.data = self.copies.swap_remove(last_kept).1;
+        self.copies.clear();
+        self.era += 1;
+        self.copy();
+        self.era
+    }
+
+    /// Ends the lease of a key before its time. Returns whether the key had one.
+    fn expire_lease_of(&mut self, key: &[u8]) -> bool {
+        let expired = self.data.expire_lease_of(key);
+        self.copy();
+        expired
+    }
+}
+
+impl Data {
     fn call(&mut self, path: &str, body: &[u8]) -> Response<Body> {
         self.expire();
         match path {
@@ -248,7 +317,6 @@
         }
     }
 
-    /// Ends the lease of a key before its time. Returns whether the key had one.
     fn expire_lease_of(&mut self, key: &[u8]) -> bool {
         let lease = self.entries.get(key).map_or(0, |entry| entry.lease);
         let expired = self.leases.remove(&lease).is_some();
--- a/crates/dogwoodpitch-lab/src/store.rs
+++ b/crates/dogwoodpitch-lab/src/store.rs
@@ -14,6 +14,7 @@
 Usage: dogwoodpitch-lab store --listen IP:PORT
 
 POST /lab/fault takes {\"kind\":\"none\"|\"outage\"|\"slow\"|\"lost_reply\",\"millis\":N}; POST /lab/expire ends the lease of the key in its body;
+POST /lab/restore takes {\"millis\":N}: the store comes back from a copy N ms old, and its header Store-Era rises by one;
 GET /lab/stats gives the calls by path.
 ";
 
--- a/crates/dogwoodpitch/tests/sync.rs
+++ b/crates/dogwoodpitch/tests/sync.rs
@@ -45,6 +45,8 @@
 
 const CLUSTER_KEY: [u8; 32] = [7; 32];
 const BOUND: Duration = Duration::from_mins(1);
+/// Time in which a change has to be in force everywhere, at the size planned for two years ahead.
+const APPLY_BOUND: Duration = Duration::from_secs(19);
 
 fn settings(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> settings::Node {
     serde_json::from_value(json!({
@@ -178,6 +180,34 @@
     });
 }
 
+/// After a return of the store, the next changes have revisions that the nodes know already, and they ignored them.
+#[test]
+fn a_change_after_the_store_came_back_older_is_in_force() {
+    let address = start();
+    run(async {
+        let store = Store::open(vec![address]);
+        apply_service(&store, "counter", 1).await;
+        sleep_until(Instant::now() + Duration::from_millis(300)).await;
+        for port in 2..=20 {
+            apply_service(&store, "counter", port).await;
+        }
+        let first = spawn("first", 1, address, &[]);
+        wait(&first, "the service", |snapshot| {
+            port_of(snapshot, "counter") == Some(20)
+        })
+        .await;
+        let era = stand_in::post(address, "/lab/restore", &json!({ "millis": 200 }));
+        assert_eq!(era, json!(1));
+        apply_service(&store, "counter", 20).await;
+        apply_service(&store, "counter", 21).await;
+        let bound = Instant::now() + APPLY_BOUND;
+        while port_of(&first.snapshot(), "counter") != Some(21) {
+            assert!(Instant::now() < bound, "the change is not in force");
+            sleep_until(Instant::now() + Duration::from_millis(50)).await;
+        }
+    });
+}
+
 fn read_calls(store: SocketAddr) -> u64 {
     stand_in::post(store, "/lab/stats", &json!({}))["/v3/kv/txn"]
         .as_u64()
