--- a/crates/dogwoodpitch/tests/steering/cluster/store.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/store.rs
@@ -1,7 +1,10 @@
 //! The store: announcements of nodes and evacuations. Reads may be stale, and calls may fail or take long. It may come back
 //! from an older copy of its data.
 
-use std::{collections::BTreeMap, net::Ipv4Addr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+};
 
 use bytes::Bytes;
 use dogwoodpitch::state::steering::{era::Era, evacuation::Notice, report::Report};
@@ -36,8 +39,10 @@
     /// Number of returns from an older copy.
     returns: u64,
     returned_at: Time,
+    /// Time of each write. Their number is the revision.
+    writes: Vec<Time>,
     /// Evacuations after each change.
-    evacuations: Vec<(Time, Notice)>,
+    evacuations: Vec<(Time, BTreeSet<Bytes>)>,
     /// Leases, and when they were granted.
     leases: Vec<Time>,
     entries: BTreeMap<Ipv4Addr, Vec<Version>>,
@@ -104,6 +109,7 @@
     pub(super) fn return_to(&mut self, copied_at: Time, now: Time) {
         self.returns += 1;
         self.returned_at = now;
+        self.writes.retain(|written_at| *written_at <= copied_at);
         self.evacuations.retain(|(written_at, _)| *written_at <= copied_at);
         self.leases.retain(|granted_at| *granted_at <= copied_at);
         for versions in self.entries.values_mut() {
@@ -120,21 +126,23 @@
     }
 
     pub(super) fn evacuations(&self) -> Notice {
-        self.evacuations
-            .last()
-            .map(|(_, notice)| notice.clone())
-            .unwrap_or_default()
+        let last = self.evacuations.last();
+        Notice {
+            revision: self.writes.len() as u64,
+            data_centres: last.map(|(_, data_centres)| data_centres.clone()).unwrap_or_default(),
+        }
     }
 
     pub(super) fn evacuate(&mut self, data_centre: Bytes, begins: bool, now: Time) {
         let mut notice = self.evacuations();
-        notice.revision += 1;
         notice.set(data_centre, begins);
-        self.evacuations.push((now, notice));
+        self.writes.push(now);
+        self.evacuations.push((now, notice.data_centres));
     }
 
     /// Announces a node under a new lease, and returns it.
     pub(super) fn announce(&mut self, ip: Ipv4Addr, report: Report, now: Time) -> u64 {
+        self.writes.push(now);
         self.leases.push(now);
         let lease = self.leases.len() as u64;
         self.entries.entry(ip).or_default().push(Version {
