--- a/crates/dogwoodpitch/src/coordination/steering/membership.rs
+++ b/crates/dogwoodpitch/src/coordination/steering/membership.rs
@@ -16,7 +16,7 @@
     },
     protocol::{steer, store::NODE_PREFIX},
     state::steering::{
-        announcement::{self, Lease, Listed, Verdict},
+        announcement::{self, Lease, Listing, Verdict},
         era::Era,
         report::{Report, Stance},
     },
@@ -189,7 +189,7 @@
 #[derive(Debug)]
 struct List {
     era: Option<Era>,
-    own: Option<Listed>,
+    own: Option<Listing>,
 }
 
 async fn read_members(node: &Rc<Node>) -> Result<List, Error> {
@@ -223,7 +223,7 @@
             Ok((ip, report)) if ip != node.settings.ip => listed.push((ip, report)),
             Ok((_, report)) => {
                 let on_same_lease = |other: &&Entry| other.lease == entry.lease;
-                own = Some(Listed {
+                own = Some(Listing {
                     lease: entry.lease,
                     shared: response.entries.iter().filter(on_same_lease).count() > 1,
                     same_node: report.is_same_node(&node.build_report(false)),
--- a/crates/dogwoodpitch/src/state/steering/announcement.rs
+++ b/crates/dogwoodpitch/src/state/steering/announcement.rs
@@ -17,7 +17,7 @@
 
 /// Announcement of this node in a list of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Listed {
+pub struct Listing {
     /// Lease on which it hangs; 0 for none.
     pub lease: u64,
     /// Whether the announcement of another node hangs on the same lease.
@@ -37,7 +37,7 @@
 
 /// Judges the announcement by a list of the store. Without a lease of its own, a process goes on with the announcement of the
 /// process before it.
-pub fn judge(renewed: Option<Lease>, listed: Option<Listed>) -> Verdict {
+pub fn judge(renewed: Option<Lease>, listed: Option<Listing>) -> Verdict {
     match listed {
         Some(listed) if listed.lease != 0 && listed.same_node && !listed.shared => {
             if renewed.is_none_or(|renewed| renewed.id == listed.lease) {
--- a/crates/dogwoodpitch/src/state/steering/view.rs
+++ b/crates/dogwoodpitch/src/state/steering/view.rs
@@ -17,7 +17,7 @@
 
 /// What the report of a peer tells of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Heard {
+pub struct Outcome {
     /// What its era means, if it tells one.
     pub order: Option<Order>,
     /// Whether the peer knows the newest era.
@@ -36,7 +36,7 @@
 
     /// Records what a peer reports of the store. A peer that does not know the newest era is told it by the next report of
     /// this node; its evacuations are of an earlier history.
-    pub fn record_report(&mut self, report: &Report, now: Instant) -> Heard {
+    pub fn record_report(&mut self, report: &Report, now: Instant) -> Outcome {
         let age = report.recovery.as_ref().map(|recovery| recovery.age);
         let order = report.era.map(|era| self.eras.record_reported(era, age, now));
         self.begin_era();
@@ -50,7 +50,7 @@
                 changes.extend(self.evacuations.retain(&recovery.retained));
             }
         }
-        Heard {
+        Outcome {
             order,
             is_current,
             changes,
--- a/crates/dogwoodpitch/tests/steering/cluster/message.rs
+++ b/crates/dogwoodpitch/tests/steering/cluster/message.rs
@@ -6,7 +6,7 @@
     roster::Role,
     steering::{
         agent::{Hop, Note},
-        announcement::{self, Lease, Listed, Verdict},
+        announcement::{self, Lease, Listing, Verdict},
         audience::Sender,
         discovery,
         member::Change,
@@ -313,7 +313,7 @@
     }
 
     /// Applies a list of the store, and returns what it tells of the announcement of the node itself.
-    fn apply_list(&mut self, ip: Ipv4Addr, stale: bool) -> Option<Listed> {
+    fn apply_list(&mut self, ip: Ipv4Addr, stale: bool) -> Option<Listing> {
         let (now, era) = (self.instant(), self.store.era());
         let listed = self.store.list(stale, self.now);
         let node = self.nodes.get_mut(&ip).expect("the node runs");
@@ -322,7 +322,7 @@
         node.first_listed_in = node.first_listed_in.or(Some(era));
         let own = listed.iter().find(|(other, _)| *other == ip).map(|(_, own)| {
             let on_same_lease = |(_, other): &&(Ipv4Addr, Entry)| other.lease == own.lease;
-            Listed {
+            Listing {
                 lease: own.lease,
                 shared: listed.iter().filter(on_same_lease).count() > 1,
                 same_node: (own.report.role == Role::Agent) == node.is_agent()
--- a/crates/dogwoodpitch/tests/steering/era.rs
+++ b/crates/dogwoodpitch/tests/steering/era.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dogwoodpitch::state::steering::{
     agent::{Agent, Effect},
-    announcement::{self, Lease, Listed, Verdict},
+    announcement::{self, Lease, Listing, Verdict},
     era::{Era, Eras, Order},
     evacuation::{Change, Notice},
     freshness::Age,
@@ -263,15 +263,15 @@
 #[test]
 fn only_a_list_proves_that_an_announcement_stands() {
     let listed = |lease| {
-        Some(Listed {
+        Some(Listing {
             lease,
             shared: false,
             same_node: true,
         })
     };
-    let shared = |lease| listed(lease).map(|listed| Listed { shared: true, ..listed });
+    let shared = |lease| listed(lease).map(|listed| Listing { shared: true, ..listed });
     let of_former = |lease| {
-        listed(lease).map(|listed| Listed {
+        listed(lease).map(|listed| Listing {
             same_node: false,
             ..listed
         })
